--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/BackendClient.cpp
@@ -0,0 +1,222 @@
+#include <Carawaykeel/Adapters/BackendClient.h>
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Timespan.h>
+#include <Poco/URI.h>
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace Carawaykeel::Adapters {
+
+namespace {
+
+constexpr int MicrosecondsPerMillisecond = 1'000;
+/// Idle connections are dropped before a server's own timeout would race with a request.
+constexpr std::chrono::seconds LongestIdle{3};
+constexpr std::size_t IdlePerServer = 64;
+constexpr std::size_t LongestAttemptAnswer = 4'096;
+const std::string AttemptField = "X-Attempt-Id";
+
+Poco::Timespan toTimespan(Base::Milliseconds time)
+{
+    return {time.count() * MicrosecondsPerMillisecond};
+}
+
+/// Lets the connection be made apart from the sending, so that a refused connection is known to
+/// have carried nothing.
+class BackendSession : public Poco::Net::HTTPClientSession
+{
+public:
+    void open(const std::string &address, const LimitSettings &limits)
+    {
+        const Poco::Net::SocketAddress peer(address);
+        setHost(peer.host().toString());
+        setPort(peer.port());
+        setKeepAlive(true);
+        setTimeout(toTimespan(limits.connectTimeout), toTimespan(limits.backendTimeout),
+            toTimespan(limits.backendTimeout));
+        connect(peer);
+    }
+};
+
+Base::ErrorKind kindOf(const Poco::Exception &ex)
+{
+    const bool isTimeout = dynamic_cast<const Poco::TimeoutException *>(&ex) != nullptr;
+    return isTimeout ? Base::ErrorKind::ServerTimeout : Base::ErrorKind::ServerBroke;
+}
+
+} // namespace
+
+BackendExchange::BackendExchange(BackendClient &client, std::string address,
+    std::unique_ptr<Poco::Net::HTTPClientSession> session)
+    : m_client(client)
+    , m_address(std::move(address))
+    , m_session(std::move(session))
+{
+}
+
+Base::Result<void> BackendExchange::tryReadHead(const Base::AttemptId &attempt)
+{
+    try {
+        m_body = &m_session->receiveResponse(m_response);
+    } catch (const Poco::Exception &ex) {
+        return Base::fail(kindOf(ex), "the server gave no answer: " + ex.displayText());
+    }
+    const auto &echo = m_response.get(AttemptField, attempt.text());
+    if (echo != attempt.text())
+        return Base::fail(Base::ErrorKind::AnswerCrossed, "the server answered another request");
+    return {};
+}
+
+bool BackendExchange::isWhole(std::size_t length)
+{
+    const auto status = m_response.getStatus();
+    const bool hasNoBody = status == Poco::Net::HTTPResponse::HTTP_NO_CONTENT
+        || status == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
+    if (hasNoBody)
+        return true;
+    if (m_response.hasContentLength())
+        return static_cast<std::size_t>(m_response.getContentLength64()) == length;
+    if (!m_response.getChunkedTransferEncoding())
+        return false;
+    // NOTE: The library ends a chunked body alike after its last chunk and after a broken
+    // connection. A connection that is to be kept alive and yet has ended tells the second.
+    auto &socket = m_session->socket();
+    return m_response.getKeepAlive()
+        && !socket.poll(Poco::Timespan(), Poco::Net::Socket::SELECT_READ);
+}
+
+Base::Result<std::string> BackendExchange::tryReadWhole(std::size_t limit)
+{
+    constexpr std::size_t PieceSize = 16'384;
+    std::string whole;
+    std::array<char, PieceSize> buf;
+    try {
+        while (m_body->read(buf.data(), buf.size()) || m_body->gcount() > 0) {
+            whole.append(buf.data(), static_cast<std::size_t>(m_body->gcount()));
+            if (whole.size() > limit)
+                return Base::fail(
+                    Base::ErrorKind::AnswerIncomplete, "the answer is longer than the limit");
+        }
+        if (const auto *ex = m_session->networkException())
+            return Base::fail(
+                Base::ErrorKind::AnswerIncomplete, "the answer broke off: " + ex->displayText());
+        if (!isWhole(whole.size()))
+            return Base::fail(
+                Base::ErrorKind::AnswerIncomplete, "the answer is shorter than announced");
+    } catch (const Poco::Exception &ex) {
+        return Base::fail(
+            Base::ErrorKind::AnswerIncomplete, "the answer broke off: " + ex.displayText());
+    }
+    return whole;
+}
+
+void BackendExchange::finish()
+{
+    if (m_response.getKeepAlive())
+        m_client.giveBack(m_address, std::move(m_session));
+}
+
+BackendClient::BackendClient(const LimitSettings &limits)
+    : m_limits(limits)
+{
+}
+
+std::unique_ptr<Poco::Net::HTTPClientSession> BackendClient::takeIdle(const std::string &address)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &idle = m_idle[address];
+    const auto now = std::chrono::steady_clock::now();
+    while (!idle.empty()) {
+        auto last = std::move(idle.back());
+        idle.pop_back();
+        // A connection that is readable while idle was closed, or holds a late answer.
+        const bool isQuiet =
+            !last.session->socket().poll(Poco::Timespan(), Poco::Net::Socket::SELECT_READ);
+        if (isQuiet && now - last.since < LongestIdle)
+            return std::move(last.session);
+    }
+    return nullptr;
+}
+
+void BackendClient::giveBack(
+    const std::string &address, std::unique_ptr<Poco::Net::HTTPClientSession> session)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &idle = m_idle[address];
+    if (idle.size() < IdlePerServer)
+        idle.push_back({std::move(session), std::chrono::steady_clock::now()});
+}
+
+Base::Result<std::unique_ptr<Poco::Net::HTTPClientSession>> BackendClient::tryConnect(
+    const std::string &address)
+{
+    try {
+        auto session = std::make_unique<BackendSession>();
+        session->open(address, m_limits);
+        return std::unique_ptr<Poco::Net::HTTPClientSession>(std::move(session));
+    } catch (const Poco::Exception &ex) {
+        return Base::fail(
+            Base::ErrorKind::ServerRefused, "the server cannot be reached: " + ex.displayText());
+    }
+}
+
+Base::Result<std::unique_ptr<BackendExchange>> BackendClient::trySend(const BackendCall &call)
+{
+    auto session = call.mayReuseConnection ? takeIdle(call.address) : nullptr;
+    if (!session) {
+        BOOST_LEAF_AUTO(fresh, tryConnect(call.address));
+        session = std::move(fresh);
+    }
+    try {
+        Poco::Net::HTTPRequest request(call.method, call.path, Poco::Net::HTTPMessage::HTTP_1_1);
+        for (const auto &field : call.fields)
+            request.set(field.name, field.value);
+        request.set(AttemptField, call.attempt.text());
+        request.setContentLength64(static_cast<Poco::Int64>(call.body.size()));
+        auto &stream = session->sendRequest(request);
+        stream << call.body << std::flush;
+    } catch (const Poco::Exception &ex) {
+        return Base::fail(kindOf(ex), "the request could not be sent whole: " + ex.displayText());
+    }
+    auto exchange = std::make_unique<BackendExchange>(*this, call.address, std::move(session));
+    BOOST_LEAF_CHECK(exchange->tryReadHead(call.attempt));
+    return exchange;
+}
+
+Budget::AttemptReport BackendClient::endAttempt(
+    const std::string &address, const Base::AttemptId &attempt)
+{
+    std::string path;
+    Poco::URI::encode(attempt.text(), "/:", path);
+    const BackendCall call{address, "DELETE", "/v1/attempts/" + path, {}, "", attempt, true};
+    auto outcome =
+        Base::toOutcome<Budget::AttemptReport>([&]() -> Base::Result<Budget::AttemptReport> {
+            BOOST_LEAF_AUTO(exchange, trySend(call));
+            BOOST_LEAF_AUTO(body, exchange->tryReadWhole(LongestAttemptAnswer));
+            exchange->finish();
+            Budget::AttemptReport report;
+            try {
+                Poco::JSON::Parser parser;
+                const auto object = parser.parse(body).extract<Poco::JSON::Object::Ptr>();
+                const auto state = object->optValue<std::string>("state", "");
+                if (state == "never_seen")
+                    report.knowledge = Budget::AttemptKnowledge::NeverSeen;
+                if (state == "finished")
+                    report.knowledge = Budget::AttemptKnowledge::Finished;
+                report.tokens = Base::Tokens(object->optValue<Poco::Int64>("tokens", 0));
+            } catch (const Poco::Exception &) {
+                report = {};
+            }
+            return report;
+        });
+    const auto *report = std::get_if<Budget::AttemptReport>(&outcome);
+    return report ? *report : Budget::AttemptReport();
+}
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/CallerContext.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <Carawaykeel/Adapters/BackendClient.h>
+#include <Carawaykeel/Adapters/DaemonSettings.h>
+#include <Carawaykeel/Adapters/PathMetrics.h>
+#include <Carawaykeel/Fleet/RequestPath.h>
+
+namespace Carawaykeel::Adapters {
+
+/// What the callers' handlers share. Borrowed references; they outlive the server.
+struct CallerContext
+{
+    Fleet::RequestPath &path;
+    BackendClient &backends;
+    PathMetrics &metrics;
+    const LimitSettings &limits;
+    bool isTls = false;
+};
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/CallerHandler.cpp
@@ -0,0 +1,200 @@
+#include <Carawaykeel/Adapters/CallerHandler.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace Carawaykeel::Adapters {
+
+namespace {
+
+constexpr std::size_t LongestKey = 200;
+constexpr std::array<std::string_view, Routing::PriorityCount> PriorityWords{
+    "urgent", "high", "normal", "low"};
+
+bool isRequestKey(const std::string &key)
+{
+    const auto isAllowed = [](unsigned char c) { return c > ' ' && c < 0x7f && c != '/'; };
+    return !key.empty() && key.size() <= LongestKey
+        && std::all_of(key.begin(), key.end(), isAllowed);
+}
+
+/// A caller may lower its own priority, never raise it.
+Routing::Priority loweredPriority(Routing::Priority declared, const std::string &word)
+{
+    const auto *const it = std::find(PriorityWords.begin(), PriorityWords.end(), word);
+    if (it == PriorityWords.end())
+        return declared;
+    return std::max(declared, static_cast<Routing::Priority>(it - PriorityWords.begin()));
+}
+
+/// Counts a request as active until its answer is written, also when the caller breaks off.
+class ActiveRequest
+{
+public:
+    explicit ActiveRequest(PathMetrics &metrics)
+        : m_metrics(metrics)
+    {
+        ++m_metrics.active;
+    }
+    ~ActiveRequest() { --m_metrics.active; }
+    ActiveRequest(const ActiveRequest &) = delete;
+    ActiveRequest &operator=(const ActiveRequest &) = delete;
+
+private:
+    PathMetrics &m_metrics;
+};
+
+template <typename T>
+Base::Result<T> passUp(Base::Outcome<T> outcome)
+{
+    if (auto *failure = std::get_if<Base::Failure>(&outcome))
+        return boost::leaf::new_error(std::move(*failure));
+    return std::get<T>(std::move(outcome));
+}
+
+} // namespace
+
+CallerHandler::CallerHandler(CallerContext &context)
+    : m_context(context)
+{
+}
+
+void CallerHandler::handleRequest(
+    Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
+{
+    const Stopwatch stopwatch;
+    ++m_context.metrics.requests;
+    const ActiveRequest active(m_context.metrics);
+    boost::leaf::try_handle_all(
+        [&]() -> Base::Result<void> { return tryAnswer(request, response); },
+        [&](const Base::Failure &failure) {
+            m_context.metrics.noteFailure(failure.kind);
+            // The rest of a request that was not read would be taken for the next one.
+            response.setKeepAlive(false);
+            sendFailure(response, failure);
+        },
+        [&] {
+            sendFailure(response, {Base::ErrorKind::Internal, "unnamed error", {}});
+        });
+    m_context.metrics.total.note(stopwatch.milliseconds());
+}
+
+Base::Result<void> CallerHandler::tryAnswer(
+    Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
+{
+    if (headerSize(request) > m_context.limits.headerBytes)
+        return Base::fail(
+            Base::ErrorKind::HeadersTooLarge, "the header fields are too large together");
+    BOOST_LEAF_AUTO(team, tryAuthenticate(request));
+    return tryHandle(team, request, response);
+}
+
+Base::Result<Configuration::TeamDeclaration> CallerHandler::tryAuthenticate(
+    const Poco::Net::HTTPServerRequest &request)
+{
+    const auto key = bearerKey(request);
+    if (key.empty())
+        return Base::fail(Base::ErrorKind::WrongKey, "the Authorization field has no bearer key");
+    const auto digest = sha256Hex(key);
+    auto team = m_context.path.lookUp(
+        [&](const Fleet::RoutingTable &table) { return table.findTeam(digest); });
+    if (!team)
+        return Base::fail(Base::ErrorKind::WrongKey, "no team has this key");
+    return *team;
+}
+
+Base::Result<Requests::RequestDescription> CallerHandler::tryDescribe(
+    const Configuration::TeamDeclaration &team, const Poco::Net::HTTPServerRequest &request)
+{
+    Requests::RequestDescription description;
+    description.key.team = team.id;
+    description.budget = team.budget;
+    description.patience = m_context.limits.patience;
+    description.priority = loweredPriority(team.priority, request.get("X-Priority", ""));
+    const auto key = request.get("Idempotency-Key", "");
+    description.hasCallerKey = !key.empty();
+    if (description.hasCallerKey && !isRequestKey(key))
+        return Base::fail(Base::ErrorKind::MalformedRequest,
+            "Idempotency-Key is not 1 to 200 printable characters without '/'");
+    description.key.request =
+        description.hasCallerKey ? Base::RequestId(key) : m_context.path.mintId(team.id);
+    return description;
+}
+
+Base::Result<Requests::Admission> CallerHandler::tryAdmit(Requests::RequestDescription description)
+{
+    const Stopwatch stopwatch;
+    auto outcome = m_context.path.admit(std::move(description));
+    m_context.metrics.admission.note(stopwatch.milliseconds());
+    return passUp(std::move(outcome));
+}
+
+Base::Result<CallerHandler::Dispatched> CallerHandler::trySend(
+    Requests::Admission admission, BackendCall call, bool keepsAttempts)
+{
+    while (true) {
+        call.address = admission.slot.address;
+        call.attempt = admission.attempt;
+        auto outcome = Base::toOutcome<std::unique_ptr<BackendExchange>>(
+            [&] { return m_context.backends.trySend(call); });
+        if (auto *exchange = std::get_if<std::unique_ptr<BackendExchange>>(&outcome)) {
+            noteServer(admission, (*exchange)->response());
+            return Dispatched{std::move(admission), std::move(*exchange)};
+        }
+        const auto failure = std::get<Base::Failure>(outcome);
+        // Only where no byte can have reached the server is another one tried: a second run would
+        // need tokens of its own.
+        if (failure.kind != Base::ErrorKind::ServerRefused)
+            return failDispatched(admission, failure, keepsAttempts);
+        auto next = m_context.path.redispatch(admission);
+        if (std::holds_alternative<Base::Failure>(next)) {
+            admission.slot = {};
+            m_context.path.abandon(admission, Routing::SlotResult::Unused);
+            return boost::leaf::new_error(failure);
+        }
+        admission = std::get<Requests::Admission>(std::move(next));
+    }
+}
+
+Base::Tokens CallerHandler::costOfBroken(const Requests::Admission &admission, bool keepsAttempts)
+{
+    if (!admission.reservation)
+        return {};
+    const auto reserved = admission.reservation->tokens;
+    if (!keepsAttempts)
+        return reserved;
+    const auto report = m_context.backends.endAttempt(admission.slot.address, admission.attempt);
+    switch (report.knowledge) {
+    case Budget::AttemptKnowledge::NeverSeen:
+        return {};
+    case Budget::AttemptKnowledge::Finished:
+        return std::min(reserved, report.tokens);
+    case Budget::AttemptKnowledge::Unknown:
+        break;
+    }
+    return reserved;
+}
+
+boost::leaf::error_id CallerHandler::failDispatched(
+    const Requests::Admission &admission, const Base::Failure &failure, bool keepsAttempts)
+{
+    const auto cost = costOfBroken(admission, keepsAttempts);
+    m_context.path.complete(admission, {cost, Routing::SlotResult::Failed, std::nullopt},
+        m_context.limits.billPatience);
+    return boost::leaf::new_error(failure);
+}
+
+void CallerHandler::noteServer(
+    const Requests::Admission &admission, const Poco::Net::HTTPResponse &response)
+{
+    if (response.has("X-Leaving"))
+        m_context.path.noteLeavingServer(admission.slot.server);
+    const auto &text = response.get("X-Load", "");
+    double load = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), load);
+    if (ec == std::errc() && end != text.data())
+        m_context.path.reportLoad(admission.slot.server, std::clamp(load, 0.0, 1.0));
+}
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/CallerHandler.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <Carawaykeel/Adapters/CallerContext.h>
+#include <Carawaykeel/Adapters/HttpAnswers.h>
+
+#include <Poco/Net/HTTPRequestHandler.h>
+
+namespace Carawaykeel::Adapters {
+
+/// What all handlers of callers' requests do alike: check the header's size and the team's key, and
+/// turn failures into answers.
+class CallerHandler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit CallerHandler(CallerContext &context);
+
+    void handleRequest(
+        Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) final;
+
+protected:
+    /// Answers the request of a team whose key was right. A failure may be returned only while
+    /// nothing of the answer was sent.
+    virtual Base::Result<void> tryHandle(const Configuration::TeamDeclaration &team,
+        Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) = 0;
+
+    /// The key that names the request across retries: the caller's own, or a minted one.
+    Base::Result<Requests::RequestDescription> tryDescribe(
+        const Configuration::TeamDeclaration &team, const Poco::Net::HTTPServerRequest &request);
+
+    /// Asks the decisions. Fails with their refusal.
+    Base::Result<Requests::Admission> tryAdmit(Requests::RequestDescription description);
+
+    /// Sends the request to the admitted server, and to another one when the first could not be
+    /// reached. On a failure the admission has been ended.
+    struct Dispatched
+    {
+        Requests::Admission admission;
+        std::unique_ptr<BackendExchange> exchange;
+    };
+    Base::Result<Dispatched> trySend(
+        Requests::Admission admission, BackendCall call, bool keepsAttempts);
+
+    /// Ends a dispatched request that went wrong and passes the failure on.
+    boost::leaf::error_id failDispatched(
+        const Requests::Admission &admission, const Base::Failure &failure, bool keepsAttempts);
+
+    /// What a dispatched request whose usage is unknown has cost: the server's own figure where it
+    /// keeps attempts, else all that was reserved.
+    Base::Tokens costOfBroken(const Requests::Admission &admission, bool keepsAttempts);
+
+    /// Takes note of what an answer says of its server.
+    void noteServer(const Requests::Admission &admission, const Poco::Net::HTTPResponse &response);
+
+    CallerContext &context() { return m_context; }
+
+private:
+    Base::Result<void> tryAnswer(
+        Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
+    Base::Result<Configuration::TeamDeclaration> tryAuthenticate(
+        const Poco::Net::HTTPServerRequest &request);
+
+    CallerContext &m_context;
+};
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/CallerServer.cpp
@@ -0,0 +1,164 @@
+#include <Carawaykeel/Adapters/CallerServer.h>
+
+#include <Carawaykeel/Adapters/ChatHandler.h>
+#include <Carawaykeel/Adapters/Listening.h>
+#include <Carawaykeel/Adapters/ServiceHandler.h>
+
+#include <Poco/JSON/Array.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/URI.h>
+#include <ctime>
+#include <utility>
+
+namespace Carawaykeel::Adapters {
+
+namespace {
+
+constexpr int StackSize = 256 * 1'024;
+constexpr int IdleSeconds = 10;
+constexpr int SmallestPool = 4;
+/// Ids that one answer of GET /v1/entry hands out.
+constexpr int MintedIds = 8;
+
+/// GET /v1/entry: which addresses a team's callers are to use, and ids that need no platform.
+class EntryHandler : public CallerHandler
+{
+public:
+    using CallerHandler::CallerHandler;
+
+protected:
+    Base::Result<void> tryHandle(const Configuration::TeamDeclaration &team,
+        Poco::Net::HTTPServerRequest &, Poco::Net::HTTPServerResponse &response) override
+    {
+        const auto entry = context().path.entryFor(team.id);
+        Poco::JSON::Array addresses;
+        for (const auto &member : entry.members) {
+            Poco::JSON::Object address(Poco::JSON_PRESERVE_KEY_ORDER);
+            address.set("url",
+                std::string(context().isTls ? "https://" : "http://") + member.callerAddress);
+            address.set("data_centre", member.dataCentre.text());
+            addresses.add(address);
+        }
+        Poco::JSON::Array ids;
+        for (int n = 0; n < MintedIds; ++n)
+            ids.add(context().path.mintId(team.id).text());
+        Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+        object.set("addresses", addresses);
+        object.set("keep_ms", entry.keep.count());
+        object.set("request_ids", ids);
+        object.set("request_ids_at", context().path.instance().membership().self().callerAddress);
+        sendJson(response, object);
+        return {};
+    }
+};
+
+/// GET /v1/models, in the form of the OpenAI-compatible list.
+class ModelsHandler : public CallerHandler
+{
+public:
+    using CallerHandler::CallerHandler;
+
+protected:
+    Base::Result<void> tryHandle(const Configuration::TeamDeclaration &,
+        Poco::Net::HTTPServerRequest &, Poco::Net::HTTPServerResponse &response) override
+    {
+        const auto models =
+            context().path.lookUp([](const Fleet::RoutingTable &table) { return table.models(); });
+        Poco::JSON::Array data;
+        for (const auto &model : models) {
+            Poco::JSON::Object entry(Poco::JSON_PRESERVE_KEY_ORDER);
+            entry.set("id", model.text());
+            entry.set("object", "model");
+            entry.set("created", 0);
+            entry.set("owned_by", "carawaykeel");
+            data.add(entry);
+        }
+        Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+        object.set("object", "list");
+        object.set("data", data);
+        sendJson(response, object);
+        return {};
+    }
+};
+
+/// Answers what no other handler is for.
+class RefusalHandler : public CallerHandler
+{
+public:
+    RefusalHandler(CallerContext &context, Base::ErrorKind kind)
+        : CallerHandler(context)
+        , m_kind(kind)
+    {
+    }
+
+protected:
+    Base::Result<void> tryHandle(const Configuration::TeamDeclaration &,
+        Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &) override
+    {
+        return Base::fail(m_kind, "there is no " + request.getMethod() + " at this path");
+    }
+
+private:
+    const Base::ErrorKind m_kind;
+};
+
+class CallerHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit CallerHandlerFactory(CallerContext &context)
+        : m_context(context)
+    {
+    }
+
+    Poco::Net::HTTPRequestHandler *createRequestHandler(
+        const Poco::Net::HTTPServerRequest &request) override
+    {
+        const auto &uri = request.getURI();
+        const auto path = uri.substr(0, uri.find('?'));
+        if (path.starts_with("/services/"))
+            return new ServiceHandler(m_context);
+        if (path == "/v1/chat/completions")
+            return onlyFor<ChatHandler>(request, Poco::Net::HTTPRequest::HTTP_POST);
+        if (path == "/v1/models")
+            return onlyFor<ModelsHandler>(request, Poco::Net::HTTPRequest::HTTP_GET);
+        if (path == "/v1/entry")
+            return onlyFor<EntryHandler>(request, Poco::Net::HTTPRequest::HTTP_GET);
+        return new RefusalHandler(m_context, Base::ErrorKind::NotFound);
+    }
+
+private:
+    template <typename Handler>
+    Poco::Net::HTTPRequestHandler *onlyFor(
+        const Poco::Net::HTTPServerRequest &request, const std::string &method)
+    {
+        if (request.getMethod() == method)
+            return new Handler(m_context);
+        return new RefusalHandler(m_context, Base::ErrorKind::MethodNotAllowed);
+    }
+
+    CallerContext &m_context;
+};
+
+} // namespace
+
+CallerServer::CallerServer(const ListenerSettings &listener, CallerContext &context)
+    : m_threads(SmallestPool, context.limits.connections + SmallestPool, IdleSeconds, StackSize)
+{
+    context.isTls = listener.tls.isEnabled();
+    m_server =
+        makeHttpServer(listener, context.limits, m_threads, new CallerHandlerFactory(context));
+    m_server->start();
+}
+
+CallerServer::~CallerServer()
+{
+    stop();
+}
+
+void CallerServer::stop()
+{
+    m_server->stop();
+}
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/ChatHandler.cpp
@@ -0,0 +1,195 @@
+#include <Carawaykeel/Adapters/ChatHandler.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace Carawaykeel::Adapters {
+
+namespace {
+
+constexpr std::size_t KeptBody = 256 * 1'024;
+constexpr int FirstErrorStatus = 400;
+const std::string EventStreamType = "text/event-stream";
+
+/// The usage that a whole answer reports; empty when the body is no whole answer.
+std::optional<Base::Tokens> usageOf(const std::string &body)
+{
+    const auto outcome =
+        Base::toOutcome<Poco::JSON::Object::Ptr>([&] { return tryParseObject(body); });
+    const auto *object = std::get_if<Poco::JSON::Object::Ptr>(&outcome);
+    if (!object || !(*object)->isArray("choices"))
+        return std::nullopt;
+    if (!(*object)->isObject("usage"))
+        return Base::Tokens(-1);
+    return Base::Tokens((*object)->getObject("usage")->optValue<Poco::Int64>("total_tokens", -1));
+}
+
+Base::Failure failureOf(RelayEnd end)
+{
+    switch (end) {
+    case RelayEnd::Crossed:
+        return {Base::ErrorKind::AnswerCrossed, "the server sent a part of another answer", {}};
+    case RelayEnd::Exceeded:
+        return {Base::ErrorKind::ReservationExceeded, "the server went on past the limit", {}};
+    case RelayEnd::Whole:
+        return {Base::ErrorKind::BillNotSafe, "the answer's bill could not be made safe", {}};
+    case RelayEnd::Broken:
+    case RelayEnd::CallerGone:
+        break;
+    }
+    return {Base::ErrorKind::AnswerIncomplete, "the answer broke off", {}};
+}
+
+} // namespace
+
+Base::Result<void> ChatHandler::tryHandle(const Configuration::TeamDeclaration &team,
+    Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
+{
+    BOOST_LEAF_AUTO(body, tryReadBody(request, context().limits.bodyBytes));
+    BOOST_LEAF_AUTO(chat, tryParseChatRequest(body));
+    const auto service = context().path.lookUp(
+        [&](const Fleet::RoutingTable &table) { return table.findModel(chat.model); });
+    if (!service)
+        return Base::fail(Base::ErrorKind::UnknownModel, "no service has the model " + chat.model);
+    BOOST_LEAF_AUTO(description, tryDescribe(team, request));
+    description.service = service->name;
+    description.hint.prefixHash = chat.prefixHash;
+    const bool hasLimit = chat.maxTokens > Base::Tokens();
+    const auto limit = hasLimit ? chat.maxTokens : service->defaultMaxTokens;
+    description.wanted = chat.worstCase(limit);
+    description.least =
+        hasLimit ? description.wanted : chat.worstCase(std::min(limit, service->leastMaxTokens));
+    response.set("X-Request-Id", description.key.request.text());
+    BOOST_LEAF_AUTO(admission, tryAdmit(std::move(description)));
+    if (admission.replay) {
+        ++context().metrics.replays;
+        response.set("X-Replayed", "true");
+        sendWhole(response, admission.replay->httpStatus, admission.replay->contentType,
+            admission.replay->body);
+        return {};
+    }
+    const auto reserved = admission.reservation->tokens;
+    const BackendCall call{"", "POST", "/v1/chat/completions",
+        {{"Content-Type", "application/json"}}, chat.forwardedBody(chat.limitFor(reserved)), {},
+        true};
+    BOOST_LEAF_AUTO(dispatched, trySend(std::move(admission), call, service->keepsAttempts));
+    if (dispatched.exchange->status() >= FirstErrorStatus)
+        return tryPassError(dispatched, *service, response);
+    if (chat.isStream)
+        return tryAnswerStream(dispatched, *service, chat, response);
+    return tryAnswerWhole(dispatched, *service, response);
+}
+
+Base::Result<void> ChatHandler::tryPassError(Dispatched &dispatched,
+    const Configuration::ServiceDeclaration &service, Poco::Net::HTTPServerResponse &response)
+{
+    const auto status = dispatched.exchange->status();
+    const auto outcome = Base::toOutcome<std::string>(
+        [&] { return dispatched.exchange->tryReadWhole(context().limits.answerBytes); });
+    const auto *body = std::get_if<std::string>(&outcome);
+    if (!body)
+        return failDispatched(
+            dispatched.admission, std::get<Base::Failure>(outcome), service.keepsAttempts);
+    const bool isServersFault = status >= Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR;
+    if (isServersFault) {
+        return failDispatched(dispatched.admission,
+            {Base::ErrorKind::ServerBroke,
+                "the server answered with status " + std::to_string(status), {}},
+            service.keepsAttempts);
+    }
+    // The engine refused the request as such, so it ran nothing; that is the whole answer.
+    dispatched.exchange->finish();
+    complete(dispatched.admission, Base::Tokens(), Routing::SlotResult::Succeeded, std::nullopt);
+    sendWhole(response, status, dispatched.exchange->response().getContentType(), *body);
+    return {};
+}
+
+bool ChatHandler::complete(const Requests::Admission &admission, Base::Tokens used,
+    Routing::SlotResult result, std::optional<Requests::StoredAnswer> answer)
+{
+    return context().path.complete(
+        admission, {used, result, std::move(answer)}, context().limits.billPatience);
+}
+
+Base::Result<void> ChatHandler::tryAnswerWhole(Dispatched &dispatched,
+    const Configuration::ServiceDeclaration &service, Poco::Net::HTTPServerResponse &response)
+{
+    auto outcome = Base::toOutcome<std::string>(
+        [&] { return dispatched.exchange->tryReadWhole(context().limits.answerBytes); });
+    if (const auto *failure = std::get_if<Base::Failure>(&outcome))
+        return failDispatched(dispatched.admission, *failure, service.keepsAttempts);
+    const auto &body = std::get<std::string>(outcome);
+    const auto usage = usageOf(body);
+    if (!usage) {
+        return failDispatched(dispatched.admission,
+            {Base::ErrorKind::AnswerIncomplete, "the server's answer is not a whole completion",
+                {}},
+            service.keepsAttempts);
+    }
+    dispatched.exchange->finish();
+    const auto reserved = dispatched.admission.reservation->tokens;
+    const bool isReported = *usage >= Base::Tokens();
+    const auto used = isReported ? std::min(*usage, reserved) : reserved;
+    const auto type = dispatched.exchange->response().getContentType();
+    const auto status = dispatched.exchange->status();
+    const bool isSafe = complete(dispatched.admission, used, Routing::SlotResult::Succeeded,
+        Requests::StoredAnswer{status, type, body});
+    if (!isSafe)
+        return Base::fail(
+            Base::ErrorKind::BillNotSafe, "the answer's bill could not be made safe in time");
+    sendWhole(response, status, type, body);
+    return {};
+}
+
+Base::Result<void> ChatHandler::tryAnswerStream(Dispatched &dispatched,
+    const Configuration::ServiceDeclaration &service, const ChatRequest &chat,
+    Poco::Net::HTTPServerResponse &response)
+{
+    response.setContentType(EventStreamType);
+    response.set("Cache-Control", "no-cache");
+    response.setChunkedTransferEncoding(true);
+    auto &stream = response.send();
+    stream.flush();
+    ++context().metrics.streamsOpen;
+    const auto limit = chat.limitFor(dispatched.admission.reservation->tokens) * chat.choices
+        + Base::Tokens(chat.choices);
+    EventStreamRelay relay(dispatched.exchange->body(), stream, limit, chat.wantsUsage, KeptBody);
+    auto result = relay.run();
+    if (result.end == RelayEnd::Whole
+        && dispatched.exchange->body().peek() == std::char_traits<char>::eof())
+        dispatched.exchange->finish();
+    else
+        dispatched.exchange.reset();
+    endStream(dispatched, service, std::move(result), stream);
+    --context().metrics.streamsOpen;
+    return {};
+}
+
+void ChatHandler::endStream(const Dispatched &dispatched,
+    const Configuration::ServiceDeclaration &service, RelayResult result, std::ostream &stream)
+{
+    const auto &admission = dispatched.admission;
+    const bool isWhole = result.end == RelayEnd::Whole;
+    const auto reserved = admission.reservation->tokens;
+    const auto used = result.usage
+        ? std::min(*result.usage, reserved)
+        : (isWhole ? reserved : costOfBroken(admission, service.keepsAttempts));
+    std::optional<Requests::StoredAnswer> answer;
+    if (isWhole && !result.body.empty())
+        answer = Requests::StoredAnswer{Poco::Net::HTTPResponse::HTTP_OK, EventStreamType,
+            result.body + std::string(EndMarker)};
+    const bool isServersFault = !isWhole && result.end != RelayEnd::CallerGone;
+    const auto slotResult =
+        isServersFault ? Routing::SlotResult::Failed : Routing::SlotResult::Succeeded;
+    const bool isSafe = complete(admission, used, slotResult, std::move(answer));
+    if (isWhole && isSafe) {
+        stream << EndMarker << std::flush;
+        return;
+    }
+    const auto failure = failureOf(result.end);
+    context().metrics.noteFailure(failure.kind);
+    stream << "data: " << failureBody(failure) << "\n\n" << std::flush;
+}
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/ChatHandler.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <Carawaykeel/Adapters/CallerHandler.h>
+#include <Carawaykeel/Adapters/ChatRequest.h>
+#include <Carawaykeel/Adapters/EventStreamRelay.h>
+
+namespace Carawaykeel::Adapters {
+
+/// POST /v1/chat/completions, whole and streamed.
+class ChatHandler : public CallerHandler
+{
+public:
+    using CallerHandler::CallerHandler;
+
+protected:
+    Base::Result<void> tryHandle(const Configuration::TeamDeclaration &team,
+        Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override;
+
+private:
+    Base::Result<void> tryAnswerWhole(Dispatched &dispatched,
+        const Configuration::ServiceDeclaration &service, Poco::Net::HTTPServerResponse &response);
+    Base::Result<void> tryAnswerStream(Dispatched &dispatched,
+        const Configuration::ServiceDeclaration &service, const ChatRequest &chat,
+        Poco::Net::HTTPServerResponse &response);
+    Base::Result<void> tryPassError(Dispatched &dispatched,
+        const Configuration::ServiceDeclaration &service, Poco::Net::HTTPServerResponse &response);
+    void endStream(const Dispatched &dispatched, const Configuration::ServiceDeclaration &service,
+        RelayResult result, std::ostream &stream);
+    bool complete(const Requests::Admission &admission, Base::Tokens used,
+        Routing::SlotResult result, std::optional<Requests::StoredAnswer> answer);
+};
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/Daemon.cpp
@@ -0,0 +1,187 @@
+#include <Carawaykeel/Adapters/Daemon.h>
+
+#include <Carawaykeel/Adapters/MetricsPage.h>
+
+#include <chrono>
+#include <fmt/core.h>
+#include <random>
+#include <utility>
+
+namespace Carawaykeel::Adapters {
+
+namespace {
+
+constexpr unsigned RandomBits = 16;
+constexpr int WritePolls = 500;
+constexpr std::chrono::milliseconds WritePollPause{10};
+
+/// Greater for each later life: the time of the start, with random bits below the milliseconds for
+/// two starts within one.
+std::uint64_t drawIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    std::random_device random;
+    return (static_cast<std::uint64_t>(milliseconds) << RandomBits)
+        | (random() & ((1U << RandomBits) - 1));
+}
+
+std::string drawSecret()
+{
+    std::random_device random;
+    return fmt::format("{:08x}{:08x}{:08x}{:08x}", random(), random(), random(), random());
+}
+
+DaemonSettings withIdentity(DaemonSettings settings)
+{
+    settings.instance.self.id.incarnation = drawIncarnation();
+    settings.instance.mintSecret = drawSecret();
+    return settings;
+}
+
+} // namespace
+
+Daemon::Daemon(DaemonSettings settings)
+    : m_settings(withIdentity(std::move(settings)))
+    , m_random(std::random_device{}())
+    , m_log(m_settings.instance.self.id)
+    , m_codec(m_settings.peerKey)
+    , m_platform(m_settings.platform, m_settings.instance.self.id.name.text(), m_loop)
+    , m_backends(m_settings.limits)
+    , m_attempts(m_backends, m_loop)
+    , m_table(std::make_unique<Fleet::RoutingTable>())
+{
+    const auto &self = m_settings.instance.self;
+    // The receivers run on the loop's thread, where the instance is made before any of them.
+    m_peers = std::make_unique<TcpPeerLink>(
+        self.id, self.peerAddress, m_settings.limits.frameBytes, m_codec, m_loop,
+        [this](const Base::InstanceName &name) { return addressOf(name); },
+        [this](const Peer::PeerEnvelope &envelope) {
+            if (m_instance)
+                m_instance->onPeerMessage(envelope);
+        });
+    m_gossip = std::make_unique<UdpGossipLink>(
+        self.gossipAddress, m_codec, m_loop, [this](const Membership::GossipMessage &message) {
+            if (m_instance)
+                m_instance->onGossip(message);
+        });
+    std::promise<void> isMade;
+    m_loop.post([&] {
+        m_instance = std::make_unique<Instance::Instance>(m_settings.instance, m_loop, m_platform,
+            *m_peers, *m_gossip, m_attempts, m_random,
+            Instance::InstanceEvents{
+                [this](std::uint64_t version, const Configuration::Declaration &declaration) {
+                    onConfiguration(version, declaration);
+                },
+                [this](const Base::InstanceId &missed) { onMissed(missed); }});
+        m_path = std::make_unique<Fleet::RequestPath>(*m_instance, m_loop, m_table);
+        isMade.set_value();
+    });
+    isMade.get_future().wait();
+    m_callerContext = std::make_unique<CallerContext>(
+        CallerContext{*m_path, m_backends, m_metrics, m_settings.limits, false});
+    m_callers = std::make_unique<CallerServer>(m_settings.callers, *m_callerContext);
+    m_operatorContext = std::make_unique<OperatorContext>(
+        OperatorContext{*m_path, m_platform, m_settings.limits, m_settings.operators.key,
+            [this] {
+                return metricsPage({*m_instance, m_metrics, m_platform, *m_peers, *m_gossip});
+            },
+            [this] { requestShutDown(); }});
+    m_operators = std::make_unique<OperatorServer>(m_settings.operators, *m_operatorContext);
+    m_loop.post([this] {
+        m_instance->start();
+        watchVmList();
+    });
+    m_log.info("started",
+        fmt::format("callers={} operators={} data_centre={}", self.callerAddress,
+            self.operatorAddress, self.dataCentre.text()));
+}
+
+Daemon::~Daemon()
+{
+    m_callers->stop();
+    m_operators.reset();
+    m_gossip.reset();
+    m_platform.stop();
+    m_attempts.stop();
+    m_loop.stop();
+    m_peers.reset();
+}
+
+std::string Daemon::addressOf(const Base::InstanceName &name)
+{
+    const auto &members = m_instance->membership().members();
+    const auto it = members.find(name);
+    return it == members.end() ? std::string() : it->second.peerAddress;
+}
+
+void Daemon::onConfiguration(std::uint64_t version, const Configuration::Declaration &declaration)
+{
+    m_attempts.setDeclaration(declaration);
+    m_table.publish(std::make_unique<Fleet::RoutingTable>(version, declaration));
+    m_log.info("configuration_in_force", fmt::format("version={}", version));
+}
+
+void Daemon::onMissed(const Base::InstanceId &missed)
+{
+    m_log.warn("instance_missed",
+        fmt::format("missed={} missed_incarnation={}", missed.name.text(), missed.incarnation));
+}
+
+void Daemon::watchVmList()
+{
+    m_platform.readVms([this](const Platform::VmListReply &reply) {
+        if (reply.reached)
+            takeVmList(reply);
+        m_loop.schedule(m_settings.platform.vmListInterval, [this] { watchVmList(); });
+    });
+}
+
+void Daemon::takeVmList(const Platform::VmListReply &reply)
+{
+    for (const auto &entry : reply.entries) {
+        const bool isLeavingServer =
+            !entry.server.empty() && entry.state != Platform::VmState::Live;
+        if (isLeavingServer)
+            m_instance->noteLeavingServer(Base::ServerName(entry.server));
+        const bool isGoneEntry = entry.server.empty() && entry.state == Platform::VmState::Gone;
+        if (isGoneEntry && m_settings.platform.believesVmList)
+            m_instance->membership().markVmGone(entry.vm);
+    }
+}
+
+void Daemon::requestShutDown()
+{
+    m_loop.post([this] {
+        if (m_instance->isShuttingDown())
+            return;
+        m_log.info("leaving");
+        m_instance->shutDown(
+            m_settings.shutDownLimit, [this](bool isHandedBack) { finish(isHandedBack); });
+    });
+}
+
+void Daemon::finish(bool isHandedBack)
+{
+    if (isHandedBack)
+        m_log.info("left", "grants=handed_back");
+    else
+        m_log.warn("left",
+            fmt::format("grants=open open_grants={}", m_instance->budgets().book().all().size()));
+    const std::lock_guard lock(m_mutex);
+    m_hasLeft = true;
+    m_isHandedBack = isHandedBack;
+    m_wake.notify_all();
+}
+
+bool Daemon::wait()
+{
+    std::unique_lock lock(m_mutex);
+    m_wake.wait(lock, [this] { return m_hasLeft; });
+    // The decisions are done with a request before the last bytes of its answer are written.
+    for (int n = 0; m_metrics.active > 0 && n < WritePolls; ++n)
+        std::this_thread::sleep_for(WritePollPause);
+    return m_isHandedBack;
+}
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/Daemon.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <Carawaykeel/Adapters/BackendClient.h>
+#include <Carawaykeel/Adapters/CallerServer.h>
+#include <Carawaykeel/Adapters/DaemonSettings.h>
+#include <Carawaykeel/Adapters/EngineAttempts.h>
+#include <Carawaykeel/Adapters/Logger.h>
+#include <Carawaykeel/Adapters/OperatorServer.h>
+#include <Carawaykeel/Adapters/PlatformClient.h>
+#include <Carawaykeel/Adapters/TcpPeerLink.h>
+#include <Carawaykeel/Adapters/UdpGossipLink.h>
+#include <Carawaykeel/Fleet/EventLoop.h>
+#include <Carawaykeel/Fleet/RequestPath.h>
+#include <Carawaykeel/Instance/Instance.h>
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+
+namespace Carawaykeel::Adapters {
+
+/// One entry VM's process: the decisions on their loop, and the sockets around them.
+class Daemon
+{
+public:
+    /// Binds all addresses; throws Poco::Exception when one cannot be bound.
+    explicit Daemon(DaemonSettings settings);
+    ~Daemon();
+
+    Daemon(const Daemon &) = delete;
+    Daemon &operator=(const Daemon &) = delete;
+
+    /// Begins to leave; a second call changes nothing.
+    void requestShutDown();
+
+    /// Waits until the process has left. Answers true when everything was handed back.
+    bool wait();
+
+private:
+    std::string addressOf(const Base::InstanceName &name);
+    void onConfiguration(std::uint64_t version, const Configuration::Declaration &declaration);
+    void onMissed(const Base::InstanceId &missed);
+    void watchVmList();
+    void takeVmList(const Platform::VmListReply &reply);
+    void finish(bool isHandedBack);
+
+    DaemonSettings m_settings;
+    Base::RandomEngine m_random;
+    Logger m_log;
+    Peer::SealedCodec m_codec;
+    Fleet::EventLoop m_loop;
+    PlatformClient m_platform;
+    BackendClient m_backends;
+    EngineAttempts m_attempts;
+    PathMetrics m_metrics;
+    Fleet::RcuCell<Fleet::RoutingTable> m_table;
+    std::unique_ptr<TcpPeerLink> m_peers;
+    std::unique_ptr<UdpGossipLink> m_gossip;
+    std::unique_ptr<Instance::Instance> m_instance;
+    std::unique_ptr<Fleet::RequestPath> m_path;
+    std::unique_ptr<CallerContext> m_callerContext;
+    std::unique_ptr<OperatorContext> m_operatorContext;
+    std::unique_ptr<CallerServer> m_callers;
+    std::unique_ptr<OperatorServer> m_operators;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    bool m_hasLeft = false;
+    bool m_isHandedBack = false;
+};
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/EngineAttempts.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <Carawaykeel/Adapters/BackendClient.h>
+#include <Carawaykeel/Adapters/WorkerPool.h>
+#include <Carawaykeel/Base/Scheduler.h>
+#include <Carawaykeel/Budget/AttemptOracle.h>
+#include <Carawaykeel/Configuration/Declaration.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Carawaykeel::Adapters {
+
+/// Asks all servers of a service what became of a dead holder's reservation, where the service is
+/// declared to keep attempts.
+class EngineAttempts : public Budget::AttemptOracle
+{
+public:
+    EngineAttempts(BackendClient &backends, Base::Scheduler &scheduler);
+
+    /// Takes the servers of the configuration in force. Called on the scheduler's thread.
+    void setDeclaration(const Configuration::Declaration &declaration);
+
+    void ask(const Base::ServiceName &service, const Base::GrantId &grant,
+        std::uint64_t reservation, std::function<void(Budget::AttemptReport)> answer) override;
+
+    void stop() { m_pool.stop(); }
+
+private:
+    BackendClient &m_backends;
+    Base::Scheduler &m_scheduler;
+    /// Addresses of the servers, for services that keep attempts.
+    std::map<Base::ServiceName, std::vector<std::string>> m_servers;
+    WorkerPool m_pool;
+};
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/EventStreamRelay.cpp
@@ -0,0 +1,147 @@
+#include <Carawaykeel/Adapters/EventStreamRelay.h>
+
+#include <Carawaykeel/Adapters/HttpAnswers.h>
+
+namespace Carawaykeel::Adapters {
+
+namespace {
+
+constexpr std::size_t LongestEvent = 1'024 * 1'024;
+constexpr std::string_view DataPrefix = "data:";
+
+std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\n'))
+        text.remove_prefix(1);
+    while (!text.empty() && (text.back() == '\n' || text.back() == '\r' || text.back() == ' '))
+        text.remove_suffix(1);
+    return text;
+}
+
+std::string_view dataOf(std::string_view event)
+{
+    return event.starts_with(DataPrefix) ? trimmed(event.substr(DataPrefix.size()))
+                                         : std::string_view();
+}
+
+/// The text after "id": in a chunk; events are written by programs, so it is looked for plainly.
+std::string_view findId(std::string_view data)
+{
+    constexpr std::string_view Key = "\"id\":";
+    const auto n = data.find(Key);
+    if (n == std::string_view::npos)
+        return {};
+    const auto rest = trimmed(data.substr(n + Key.size()));
+    if (rest.empty() || rest.front() != '"')
+        return {};
+    return rest.substr(1, rest.find('"', 1) - 1);
+}
+
+std::optional<Base::Tokens> findUsage(std::string_view data)
+{
+    if (data.find("\"usage\"") == std::string_view::npos)
+        return std::nullopt;
+    const auto outcome =
+        Base::toOutcome<Poco::JSON::Object::Ptr>([&] { return tryParseObject(data); });
+    const auto *object = std::get_if<Poco::JSON::Object::Ptr>(&outcome);
+    if (!object || !(*object)->isObject("usage"))
+        return std::nullopt;
+    return Base::Tokens((*object)->getObject("usage")->optValue<Poco::Int64>("total_tokens", 0));
+}
+
+} // namespace
+
+EventStreamRelay::EventStreamRelay(std::istream &from, std::ostream &to, Base::Tokens limit,
+    bool wantsUsage, std::size_t keepLimit)
+    : m_from(from)
+    , m_to(to)
+    , m_limit(limit)
+    , m_wantsUsage(wantsUsage)
+    , m_keepLimit(keepLimit)
+{
+}
+
+RelayResult EventStreamRelay::run()
+{
+    std::string event;
+    while (readEvent(event)) {
+        if (handle(event) == Step::End)
+            break;
+    }
+    if (!m_isKept)
+        m_result.body.clear();
+    return std::move(m_result);
+}
+
+bool EventStreamRelay::readEvent(std::string &event)
+{
+    event.clear();
+    std::string line;
+    while (std::getline(m_from, line)) {
+        if (!line.empty() && line.back() == '\r')
+            line.pop_back();
+        if (line.empty() && !event.empty()) {
+            event += '\n';
+            return true;
+        }
+        if (line.empty())
+            continue;
+        event += line;
+        event += '\n';
+        if (event.size() > LongestEvent)
+            return false;
+    }
+    return false;
+}
+
+EventStreamRelay::Step EventStreamRelay::handle(const std::string &event)
+{
+    const auto data = dataOf(event);
+    if (data == "[DONE]") {
+        m_result.end = RelayEnd::Whole;
+        return Step::End;
+    }
+    if (!checkIdentity(data)) {
+        m_result.end = RelayEnd::Crossed;
+        return Step::End;
+    }
+    if (const auto usage = findUsage(data)) {
+        m_result.usage = usage;
+        const bool isUsageOnly = data.find("\"choices\":[]") != std::string_view::npos;
+        if (m_wantsUsage || !isUsageOnly)
+            passOn(event);
+        return Step::GoOn;
+    }
+    if (data.find("\"content\"") != std::string_view::npos) {
+        m_contentEvents += Base::Tokens(1);
+        if (m_contentEvents > m_limit + Base::Tokens(1)) {
+            m_result.end = RelayEnd::Exceeded;
+            return Step::End;
+        }
+    }
+    passOn(event);
+    if (m_to.good())
+        return Step::GoOn;
+    m_result.end = RelayEnd::CallerGone;
+    return Step::End;
+}
+
+bool EventStreamRelay::checkIdentity(std::string_view data)
+{
+    const auto id = findId(data);
+    if (id.empty())
+        return true;
+    if (m_answerId.empty())
+        m_answerId = id;
+    return m_answerId == id;
+}
+
+void EventStreamRelay::passOn(const std::string &event)
+{
+    m_to << event << std::flush;
+    if (m_isKept)
+        m_result.body += event;
+    m_isKept = m_isKept && m_result.body.size() <= m_keepLimit;
+}
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/EventStreamRelay.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <Carawaykeel/Base/Tokens.h>
+
+#include <istream>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <string_view>
+
+namespace Carawaykeel::Adapters {
+
+/// How the relay of a stream ended.
+enum class RelayEnd {
+    /// The engine's end marker came; it has not been passed on yet.
+    Whole,
+    /// The engine's stream ended before its end marker.
+    Broken,
+    /// An event belongs to another answer.
+    Crossed,
+    /// The engine went on past the limit.
+    Exceeded,
+    /// The caller takes no more.
+    CallerGone,
+};
+
+/// What a relayed stream came to.
+struct RelayResult
+{
+    RelayEnd end = RelayEnd::Broken;
+    /// As the engine reported it.
+    std::optional<Base::Tokens> usage;
+    /// What the caller got, for retries; empty when it grew past the limit.
+    std::string body;
+};
+
+/// Passes server-sent events of one answer on as they come, whole event by whole event, all but the
+/// end marker, which waits for the bill.
+class EventStreamRelay
+{
+public:
+    /// Content events beyond the limit stop the relay: each carries at least one token.
+    EventStreamRelay(std::istream &from, std::ostream &to, Base::Tokens limit, bool wantsUsage,
+        std::size_t keepLimit);
+
+    RelayResult run();
+
+private:
+    enum class Step { GoOn, End };
+
+    bool readEvent(std::string &event);
+    Step handle(const std::string &event);
+    bool checkIdentity(std::string_view data);
+    void passOn(const std::string &event);
+
+    std::istream &m_from;
+    std::ostream &m_to;
+    const Base::Tokens m_limit;
+    const bool m_wantsUsage;
+    const std::size_t m_keepLimit;
+    Base::Tokens m_contentEvents;
+    std::string m_answerId;
+    RelayResult m_result;
+    bool m_isKept = true;
+};
+
+/// The event that ends a whole stream.
+inline constexpr std::string_view EndMarker = "data: [DONE]\n\n";
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/MetricsPage.cpp
@@ -0,0 +1,96 @@
+#include <Carawaykeel/Adapters/MetricsPage.h>
+
+#include <fmt/core.h>
+
+namespace Carawaykeel::Adapters {
+
+namespace {
+
+/// Gathers the lines of a page.
+class Page
+{
+public:
+    void counter(std::string_view name, std::string_view help, std::uint64_t value)
+    {
+        add(name, help, "counter", value);
+    }
+    void gauge(std::string_view name, std::string_view help, std::uint64_t value)
+    {
+        add(name, help, "gauge", value);
+    }
+    void append(std::string_view lines) { m_text += lines; }
+    std::string take() { return std::move(m_text); }
+
+private:
+    void add(
+        std::string_view name, std::string_view help, std::string_view type, std::uint64_t value)
+    {
+        m_text += fmt::format(
+            "# HELP carawaykeel_{0} {1}\n# TYPE carawaykeel_{0} {2}\ncarawaykeel_{0} {3}\n", name,
+            help, type, value);
+    }
+
+    std::string m_text;
+};
+
+void addFailures(Page &page, const PathMetrics &path)
+{
+    page.append("# HELP carawaykeel_refusals_total Requests answered with an error, by kind.\n"
+                "# TYPE carawaykeel_refusals_total counter\n");
+    for (const auto &answer : Base::allErrorAnswers())
+        page.append(fmt::format("carawaykeel_refusals_total{{kind=\"{}\"}} {}\n", answer.name,
+            path.failures(answer.kind)));
+}
+
+} // namespace
+
+std::string metricsPage(const MetricsSources &sources)
+{
+    Page page;
+    const auto &budgets = sources.instance.budgets().counters();
+    const auto &dispatch = sources.instance.dispatcher().counters();
+    page.counter("requests_total", "Requests of callers.", sources.path.requests);
+    page.counter("replays_total", "Retries answered with the first answer.", sources.path.replays);
+    addFailures(page, sources.path);
+    page.gauge("streams_open", "Streams that are being relayed.", sources.path.streamsOpen);
+    page.counter("reservations_total", "Reservations recorded by a witness.", budgets.reserved);
+    page.counter(
+        "budget_exhausted_total", "Refusals for want of tokens.", budgets.refusedExhausted);
+    page.counter("budget_unreachable_total", "Refusals for want of reachable tokens.",
+        budgets.refusedUnreachable);
+    page.counter(
+        "witness_lost_total", "Grants whose witness stopped to answer.", budgets.witnessLost);
+    page.counter("grants_taken_total", "Acquisitions from the platform.", budgets.grantsTaken);
+    page.counter("recalls_total", "Recalls of tokens from other instances.", budgets.recalls);
+    page.counter("reclaims_total", "Writes that brought back tokens of missing holders.",
+        sources.instance.reclaimer().reclaimed());
+    page.counter("write_offs_total", "Grants closed as spent, holder and witness being dead.",
+        sources.instance.reclaimer().writtenOff());
+    page.counter("dispatched_total", "Requests given a server.", dispatch.dispatched);
+    page.counter("queued_total", "Requests that had to wait.", dispatch.queued);
+    page.counter("shed_total", "Waiting requests that made room for others.", dispatch.shed);
+    page.counter("ejections_total", "Ejections of failing servers.", dispatch.ejections);
+    page.counter("platform_reads_total", "Reads sent to the platform.", sources.platform.reads());
+    page.counter(
+        "platform_writes_total", "Transactions sent to the platform.", sources.platform.writes());
+    page.counter("platform_failures_total", "Platform calls without an answer.",
+        sources.platform.failures());
+    page.counter("gossip_bytes_total", "Bytes of datagrams sent.", sources.gossip.bytesSent());
+    page.counter("gossip_datagrams_total", "Datagrams sent.", sources.gossip.datagramsSent());
+    page.counter("malformed_total", "Malformed datagrams and frames.",
+        sources.gossip.malformed() + sources.peers.malformed());
+    page.counter(
+        "peer_messages_total", "Messages sent to other instances.", sources.peers.messagesSent());
+    page.gauge(
+        "configuration_version", "Version in force.", sources.instance.configuration().version());
+    page.gauge("members", "Instances known.", sources.instance.membership().members().size() + 1);
+    page.gauge(
+        "in_flight", "Requests admitted and not ended.", sources.instance.requests().inFlight());
+    page.append(sources.path.admission.toPrometheus(
+        "carawaykeel_admission_seconds", "Time to the leave to dispatch."));
+    page.append(sources.path.total.toPrometheus(
+        "carawaykeel_request_seconds", "Time to the end of the answer."));
+    return page.take();
+}
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/MetricsPage.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <Carawaykeel/Adapters/PathMetrics.h>
+#include <Carawaykeel/Adapters/PlatformClient.h>
+#include <Carawaykeel/Adapters/TcpPeerLink.h>
+#include <Carawaykeel/Adapters/UdpGossipLink.h>
+#include <Carawaykeel/Instance/Instance.h>
+
+#include <string>
+
+namespace Carawaykeel::Adapters {
+
+/// Where the counters of one process are.
+struct MetricsSources
+{
+    Instance::Instance &instance;
+    const PathMetrics &path;
+    const PlatformClient &platform;
+    const TcpPeerLink &peers;
+    const UdpGossipLink &gossip;
+};
+
+/// All counters in the Prometheus text format, version 0.0.4. Called on the scheduler's thread.
+std::string metricsPage(const MetricsSources &sources);
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/OperatorServer.cpp
@@ -0,0 +1,264 @@
+#include <Carawaykeel/Adapters/OperatorServer.h>
+
+#include <Carawaykeel/Adapters/HttpAnswers.h>
+#include <Carawaykeel/Adapters/Listening.h>
+#include <Carawaykeel/Adapters/StateDump.h>
+#include <Carawaykeel/Configuration/ObjectReader.h>
+#include <Carawaykeel/Platform/RowCodec.h>
+
+#include <Poco/JSON/Array.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <future>
+#include <utility>
+
+namespace Carawaykeel::Adapters {
+
+namespace {
+
+constexpr int StackSize = 256 * 1'024;
+constexpr int MostThreads = 16;
+constexpr int IdleSeconds = 10;
+constexpr std::int64_t MostTokens = 1'000'000'000'000'000;
+
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+/// Starts an asynchronous call on the scheduler's thread and waits for its outcome.
+template <typename T>
+Base::Result<T> await(
+    Fleet::RequestPath &path, std::function<void(std::function<void(Base::Outcome<T>)>)> start)
+{
+    auto promise = std::make_shared<std::promise<Base::Outcome<T>>>();
+    auto future = promise->get_future();
+    path.call<bool>([&] {
+        start([promise](Base::Outcome<T> outcome) { promise->set_value(std::move(outcome)); });
+        return true;
+    });
+    auto outcome = future.get();
+    if (auto *failure = std::get_if<Base::Failure>(&outcome))
+        return boost::leaf::new_error(std::move(*failure));
+    return std::get<T>(std::move(outcome));
+}
+
+class OperatorHandler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit OperatorHandler(OperatorContext &context)
+        : m_context(context)
+    {
+    }
+
+    void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
+    {
+        boost::leaf::try_handle_all(
+            [&]() -> Base::Result<void> { return tryAnswer(request, response); },
+            [&](const Base::Failure &failure) {
+                response.setKeepAlive(false);
+                sendFailure(response, failure);
+            },
+            [&] {
+                sendFailure(response, {Base::ErrorKind::Internal, "unnamed error", {}});
+            });
+    }
+
+private:
+    Base::Result<void> tryAnswer(HTTPServerRequest &request, HTTPServerResponse &response)
+    {
+        const auto &path = request.getURI();
+        if (sha256Hex(bearerKey(request)) != sha256Hex(m_context.key))
+            return Base::fail(Base::ErrorKind::WrongKey, "the operators' key is wrong");
+        const bool isGet = request.getMethod() == Poco::Net::HTTPRequest::HTTP_GET;
+        const bool isPost = request.getMethod() == Poco::Net::HTTPRequest::HTTP_POST;
+        if (isGet && path == "/metrics")
+            return answerMetrics(response);
+        if (isGet && path == "/admin/state")
+            return answerDump(response, dumpState);
+        if (isGet && path == "/admin/health")
+            return answerDump(response, dumpHealth);
+        if (isGet && path == "/admin/configuration")
+            return answerConfiguration(response);
+        if (isGet && path == "/admin/budgets")
+            return tryAnswerBudgets(response);
+        if (isPost && path == "/admin/configuration")
+            return tryApply(request, response);
+        if (isPost && path == "/admin/top-up")
+            return tryTopUp(request, response);
+        if (isPost && path == "/admin/drain")
+            return drain(response);
+        return Base::fail(
+            Base::ErrorKind::NotFound, "there is no " + request.getMethod() + " at this path");
+    }
+
+    Base::Result<void> answerMetrics(HTTPServerResponse &response)
+    {
+        const auto page = m_context.path.call<std::string>([&] { return m_context.metrics(); });
+        sendWhole(response, HTTPServerResponse::HTTP_OK, "text/plain; version=0.0.4", page);
+        return {};
+    }
+
+    Base::Result<void> answerDump(
+        HTTPServerResponse &response, Poco::JSON::Object (*dump)(Instance::Instance &))
+    {
+        const auto text = m_context.path.call<std::string>(
+            [&] { return toText(dump(m_context.path.instance())); });
+        sendWhole(response, HTTPServerResponse::HTTP_OK, "application/json", text);
+        return {};
+    }
+
+    Base::Result<void> answerConfiguration(HTTPServerResponse &response)
+    {
+        const auto text = m_context.path.call<std::string>([&] {
+            const auto &configuration = m_context.path.instance().configuration();
+            Poco::JSON::Object object;
+            object.set("version", configuration.version());
+            object.set("document", configuration.document());
+            return toText(object);
+        });
+        sendWhole(response, HTTPServerResponse::HTTP_OK, "application/json", text);
+        return {};
+    }
+
+    Base::Result<void> tryAnswerBudgets(HTTPServerResponse &response)
+    {
+        BOOST_LEAF_AUTO(reply,
+            await<Platform::RangeReply>(m_context.path,
+                [&](std::function<void(Base::Outcome<Platform::RangeReply>)> answer) {
+                    m_context.table.readRange("budget/", [answer](Platform::RangeReply rows) {
+                        if (!rows.reached)
+                            return answer(Base::Failure{Base::ErrorKind::PlatformUnreachable,
+                                "the platform cannot be reached", {}});
+                        answer(std::move(rows));
+                    });
+                }));
+        Poco::JSON::Array budgets;
+        for (const auto &row : reply.rows) {
+            const auto books = Platform::decodeRow<Budget::BudgetRow>(row.value);
+            Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+            object.set("budget", row.key.substr(row.key.find('/') + 1));
+            object.set("topped_up", books.toppedUp.count());
+            object.set("settled_in_closed_grants", books.settled.count());
+            object.set("granted", books.granted.count());
+            object.set("available", books.available().count());
+            object.set("open_grants", books.grants.size());
+            budgets.add(object);
+        }
+        Poco::JSON::Object object;
+        object.set("budgets", budgets);
+        sendJson(response, object);
+        return {};
+    }
+
+    /// Reads a body strictly. Fails with MalformedRequest and all its faults.
+    template <typename Function>
+    Base::Result<void> tryReadObject(HTTPServerRequest &request, Function &&read)
+    {
+        BOOST_LEAF_AUTO(body, tryReadBody(request, m_context.limits.bodyBytes));
+        Configuration::Faults faults;
+        auto reader = Configuration::ObjectReader::parse(body, faults);
+        if (faults.empty()) {
+            read(reader);
+            reader.finish();
+        }
+        if (!faults.empty())
+            return Base::fail(
+                Base::ErrorKind::MalformedRequest, Configuration::describeFaults(faults, "body"));
+        return {};
+    }
+
+    Base::Result<void> tryApply(HTTPServerRequest &request, HTTPServerResponse &response)
+    {
+        std::string document;
+        std::int64_t baseVersion = 0;
+        Base::OperationId operation;
+        BOOST_LEAF_CHECK(tryReadObject(request, [&](Configuration::ObjectReader &reader) {
+            document = reader.requireText("document");
+            baseVersion = reader.requireInteger("base_version", 0, MostTokens);
+            operation = Base::OperationId(reader.requireName("operation"));
+        }));
+        BOOST_LEAF_AUTO(applied,
+            await<Configuration::ApplyAnswer>(m_context.path,
+                [&](std::function<void(Base::Outcome<Configuration::ApplyAnswer>)> answer) {
+                    m_context.path.instance().configuration().apply(document,
+                        static_cast<std::uint64_t>(baseVersion), operation, std::move(answer));
+                }));
+        Poco::JSON::Object object;
+        object.set("version", applied.version);
+        sendJson(response, object);
+        return {};
+    }
+
+    Base::Result<void> tryTopUp(HTTPServerRequest &request, HTTPServerResponse &response)
+    {
+        Base::BudgetId budget;
+        Budget::TopUpOrder order;
+        BOOST_LEAF_CHECK(tryReadObject(request, [&](Configuration::ObjectReader &reader) {
+            budget = Base::BudgetId(reader.requireName("budget"));
+            order.id = Base::TopUpId(reader.requireName("id"));
+            order.tokens = Base::Tokens(reader.requireInteger("tokens", 1, MostTokens));
+        }));
+        const bool isDeclared = m_context.path.call<bool>([&] {
+            const auto &budgets = m_context.path.instance().configuration().declaration().budgets;
+            return std::any_of(budgets.begin(), budgets.end(),
+                [&](const auto &declared) { return declared.id == budget; });
+        });
+        if (!isDeclared)
+            return Base::fail(
+                Base::ErrorKind::NotFound, "no budget " + budget.text() + " is declared");
+        BOOST_LEAF_AUTO(books,
+            await<Budget::BudgetRow>(
+                m_context.path, [&](std::function<void(Base::Outcome<Budget::BudgetRow>)> answer) {
+                    m_context.path.instance().budgets().topUps().topUp(
+                        budget, order, std::move(answer));
+                }));
+        Poco::JSON::Object object;
+        object.set("budget", budget.text());
+        object.set("topped_up", books.toppedUp.count());
+        sendJson(response, object);
+        return {};
+    }
+
+    Base::Result<void> drain(HTTPServerResponse &response)
+    {
+        m_context.drain();
+        Poco::JSON::Object object;
+        object.set("draining", true);
+        sendJson(response, object);
+        return {};
+    }
+
+    OperatorContext &m_context;
+};
+
+class OperatorHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit OperatorHandlerFactory(OperatorContext &context)
+        : m_context(context)
+    {
+    }
+
+    Poco::Net::HTTPRequestHandler *createRequestHandler(const HTTPServerRequest &) override
+    {
+        return new OperatorHandler(m_context);
+    }
+
+private:
+    OperatorContext &m_context;
+};
+
+} // namespace
+
+OperatorServer::OperatorServer(const ListenerSettings &listener, OperatorContext &context)
+    : m_threads(2, MostThreads, IdleSeconds, StackSize)
+{
+    m_server =
+        makeHttpServer(listener, context.limits, m_threads, new OperatorHandlerFactory(context));
+    m_server->start();
+}
+
+OperatorServer::~OperatorServer()
+{
+    m_server->stop();
+}
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/PlatformClient.cpp
@@ -0,0 +1,217 @@
+#include <Carawaykeel/Adapters/PlatformClient.h>
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/Timespan.h>
+#include <Poco/URI.h>
+#include <sstream>
+#include <utility>
+
+namespace Carawaykeel::Adapters {
+
+namespace {
+
+constexpr std::size_t QueueLimit = 20'000;
+constexpr int Ok = 200;
+constexpr int Conflict = 409;
+constexpr int MicrosecondsPerMillisecond = 1'000;
+
+std::string stringify(const Poco::JSON::Object &object)
+{
+    std::ostringstream stream;
+    object.stringify(stream);
+    return stream.str();
+}
+
+Poco::JSON::Object::Ptr parseObject(const std::string &body)
+{
+    Poco::JSON::Parser parser;
+    return parser.parse(body).extract<Poco::JSON::Object::Ptr>();
+}
+
+std::optional<Platform::Row> readRow(const Poco::JSON::Array::Ptr &array, std::size_t n)
+{
+    const auto object = array->getObject(static_cast<unsigned>(n));
+    if (object.isNull())
+        return std::nullopt;
+    return Platform::Row{object->getValue<std::string>("key"),
+        object->getValue<std::string>("value"), object->getValue<Poco::UInt64>("version")};
+}
+
+Platform::VmState parseState(const std::string &word)
+{
+    if (word == "gone")
+        return Platform::VmState::Gone;
+    return word == "leaving" ? Platform::VmState::Leaving : Platform::VmState::Live;
+}
+
+} // namespace
+
+PlatformClient::PlatformClient(
+    const PlatformSettings &settings, std::string clientName, Base::Scheduler &scheduler)
+    : m_settings(settings)
+    , m_clientName(std::move(clientName))
+    , m_scheduler(scheduler)
+    , m_sessions(static_cast<std::size_t>(settings.connections))
+    , m_pool(static_cast<std::size_t>(settings.connections), QueueLimit)
+{
+}
+
+template <typename Reply>
+void PlatformClient::run(std::function<Reply(std::size_t)> call, std::function<void(Reply)> answer)
+{
+    const bool isTaken = m_pool.tryRun([this, call = std::move(call), answer](std::size_t thread) {
+        Reply reply;
+        try {
+            reply = call(thread);
+        } catch (const std::exception &) {
+            // An answer that cannot be read says as little as none.
+            ++m_failures;
+            reply = Reply();
+        }
+        m_scheduler.schedule(
+            Base::Milliseconds(), [answer, reply = std::move(reply)] { answer(reply); });
+    });
+    if (!isTaken)
+        m_scheduler.schedule(Base::Milliseconds(), [answer] { answer(Reply()); });
+}
+
+std::optional<PlatformClient::HttpReply> PlatformClient::exchange(
+    std::size_t thread, const std::string &method, const std::string &path, const std::string &body)
+{
+    auto &session = m_sessions.at(thread);
+    try {
+        if (!session) {
+            session = std::make_unique<Poco::Net::HTTPClientSession>(
+                Poco::Net::SocketAddress(m_settings.address));
+            session->setKeepAlive(true);
+            session->setTimeout(
+                Poco::Timespan(m_settings.timeout.count() * MicrosecondsPerMillisecond));
+        }
+        Poco::Net::HTTPRequest request(method, path, Poco::Net::HTTPMessage::HTTP_1_1);
+        request.set("Authorization", "Bearer " + m_settings.key);
+        request.set("X-Client", m_clientName);
+        request.setContentType("application/json");
+        request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+        session->sendRequest(request) << body << std::flush;
+        Poco::Net::HTTPResponse response;
+        auto &stream = session->receiveResponse(response);
+        HttpReply reply;
+        Poco::StreamCopier::copyToString64(stream, reply.body);
+        reply.status = response.getStatus();
+        return reply;
+    } catch (const Poco::Exception &) {
+        // The connection may still carry the lost answer, so it is not used again.
+        session.reset();
+        ++m_failures;
+        return std::nullopt;
+    }
+}
+
+void PlatformClient::readRows(
+    std::vector<std::string> keys, std::function<void(Platform::RowsReply)> answer)
+{
+    ++m_reads;
+    Poco::JSON::Array::Ptr list = new Poco::JSON::Array();
+    for (const auto &key : keys)
+        list->add(key);
+    Poco::JSON::Object object;
+    object.set("keys", list);
+    run<Platform::RowsReply>(
+        [this, body = stringify(object), count = keys.size()](std::size_t thread) {
+            Platform::RowsReply reply;
+            const auto http = exchange(thread, "POST", "/table/read", body);
+            if (!http || http->status != Ok)
+                return reply;
+            const auto rows = parseObject(http->body)->getArray("rows");
+            if (rows.isNull() || rows->size() != count)
+                return reply;
+            for (std::size_t n = 0; n < count; ++n)
+                reply.rows.push_back(readRow(rows, n));
+            reply.reached = true;
+            return reply;
+        },
+        std::move(answer));
+}
+
+void PlatformClient::readRange(std::string prefix, std::function<void(Platform::RangeReply)> answer)
+{
+    ++m_reads;
+    std::string encoded;
+    Poco::URI::encode(prefix, "/&?=#", encoded);
+    run<Platform::RangeReply>(
+        [this, path = "/table/range?prefix=" + encoded](std::size_t thread) {
+            Platform::RangeReply reply;
+            const auto http = exchange(thread, "GET", path, "");
+            if (!http || http->status != Ok)
+                return reply;
+            const auto rows = parseObject(http->body)->getArray("rows");
+            for (std::size_t n = 0; n < rows->size(); ++n) {
+                if (auto row = readRow(rows, n))
+                    reply.rows.push_back(std::move(*row));
+            }
+            reply.reached = true;
+            return reply;
+        },
+        std::move(answer));
+}
+
+void PlatformClient::commit(
+    Platform::Transaction transaction, std::function<void(Platform::CommitReply)> answer)
+{
+    ++m_writes;
+    Poco::JSON::Array::Ptr writes = new Poco::JSON::Array();
+    for (const auto &write : transaction.writes) {
+        Poco::JSON::Object::Ptr object = new Poco::JSON::Object();
+        object->set("key", write.key);
+        object->set("value", write.value ? Poco::Dynamic::Var(*write.value) : Poco::Dynamic::Var());
+        object->set("expected", static_cast<Poco::UInt64>(write.expectedVersion));
+        writes->add(object);
+    }
+    Poco::JSON::Object object;
+    object.set("writes", writes);
+    run<Platform::CommitReply>(
+        [this, body = stringify(object)](std::size_t thread) {
+            Platform::CommitReply reply;
+            const auto http = exchange(thread, "POST", "/table/commit", body);
+            if (!http)
+                return reply;
+            if (http->status == Conflict)
+                reply.outcome = Platform::CommitOutcome::Conflict;
+            if (http->status != Ok)
+                return reply;
+            reply.version = parseObject(http->body)->getValue<Poco::UInt64>("version");
+            reply.outcome = Platform::CommitOutcome::Committed;
+            return reply;
+        },
+        std::move(answer));
+}
+
+void PlatformClient::readVms(std::function<void(Platform::VmListReply)> answer)
+{
+    ++m_reads;
+    run<Platform::VmListReply>(
+        [this](std::size_t thread) {
+            Platform::VmListReply reply;
+            const auto http = exchange(thread, "GET", "/vms", "");
+            if (!http || http->status != Ok)
+                return reply;
+            const auto vms = parseObject(http->body)->getArray("vms");
+            for (std::size_t n = 0; n < vms->size(); ++n) {
+                const auto object = vms->getObject(static_cast<unsigned>(n));
+                reply.entries.push_back({object->optValue<std::string>("vm", ""),
+                    object->optValue<std::string>("server", ""),
+                    parseState(object->getValue<std::string>("state"))});
+            }
+            reply.reached = true;
+            return reply;
+        },
+        std::move(answer));
+}
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/PlatformClient.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <Carawaykeel/Adapters/DaemonSettings.h>
+#include <Carawaykeel/Adapters/WorkerPool.h>
+#include <Carawaykeel/Base/Scheduler.h>
+#include <Carawaykeel/Platform/TableService.h>
+#include <Carawaykeel/Platform/VmList.h>
+
+#include <Poco/JSON/Object.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Carawaykeel::Adapters {
+
+/// The platform's table service and list of VMs over HTTP and JSON. Blocking calls run on threads
+/// of their own; answers come back on the scheduler's thread.
+class PlatformClient : public Platform::TableService, public Platform::VmList
+{
+public:
+    /// The client's name goes into each request, for the platform's logs.
+    PlatformClient(
+        const PlatformSettings &settings, std::string clientName, Base::Scheduler &scheduler);
+
+    void readRows(
+        std::vector<std::string> keys, std::function<void(Platform::RowsReply)> answer) override;
+    void readRange(std::string prefix, std::function<void(Platform::RangeReply)> answer) override;
+    void commit(Platform::Transaction transaction,
+        std::function<void(Platform::CommitReply)> answer) override;
+    void readVms(std::function<void(Platform::VmListReply)> answer) override;
+
+    /// Ends the threads; calls under way are not answered.
+    void stop() { m_pool.stop(); }
+
+    std::uint64_t reads() const { return m_reads; }
+    std::uint64_t writes() const { return m_writes; }
+    std::uint64_t failures() const { return m_failures; }
+
+private:
+    struct HttpReply
+    {
+        int status = 0;
+        std::string body;
+    };
+
+    template <typename Reply>
+    void run(std::function<Reply(std::size_t)> call, std::function<void(Reply)> answer);
+    std::optional<HttpReply> exchange(std::size_t thread, const std::string &method,
+        const std::string &path, const std::string &body);
+
+    const PlatformSettings m_settings;
+    const std::string m_clientName;
+    Base::Scheduler &m_scheduler;
+    std::vector<std::unique_ptr<Poco::Net::HTTPClientSession>> m_sessions;
+    std::atomic<std::uint64_t> m_reads = 0;
+    std::atomic<std::uint64_t> m_writes = 0;
+    std::atomic<std::uint64_t> m_failures = 0;
+    WorkerPool m_pool;
+};
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/TcpPeerLink.cpp
@@ -0,0 +1,138 @@
+#include <Carawaykeel/Adapters/TcpPeerLink.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/TCPServerConnection.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
+#include <Poco/Net/TCPServerParams.h>
+#include <utility>
+
+namespace Carawaykeel::Adapters {
+
+namespace {
+
+constexpr int MostConnections = 512;
+
+/// Reads frames from one connection until it ends or sends something malformed.
+class PeerConnection : public Poco::Net::TCPServerConnection
+{
+public:
+    PeerConnection(const Poco::Net::StreamSocket &socket, TcpPeerLink &link)
+        : TCPServerConnection(socket)
+        , m_link(link)
+    {
+    }
+
+    void run() override
+    {
+        socket().setReceiveTimeout(Poco::Timespan());
+        socket().setKeepAlive(true);
+        try {
+            while (readFrame()) { }
+        } catch (const Poco::Exception &) {
+            // A broken connection loses messages; who needs an answer asks again.
+        }
+    }
+
+private:
+    bool readFrame()
+    {
+        std::string header(FrameHeaderLength, '\0');
+        if (!readAll(header))
+            return false;
+        const auto length = decodeFrameHeader(header);
+        if (length > m_link.frameLimit())
+            return false;
+        std::string message(length, '\0');
+        return readAll(message) && m_link.receive(message);
+    }
+
+    bool readAll(std::string &buf)
+    {
+        std::size_t n = 0;
+        while (n < buf.size()) {
+            const auto got =
+                socket().receiveBytes(buf.data() + n, static_cast<int>(buf.size() - n));
+            if (got <= 0)
+                return false;
+            n += static_cast<std::size_t>(got);
+        }
+        return true;
+    }
+
+    TcpPeerLink &m_link;
+};
+
+class PeerConnectionFactory : public Poco::Net::TCPServerConnectionFactory
+{
+public:
+    explicit PeerConnectionFactory(TcpPeerLink &link)
+        : m_link(link)
+    {
+    }
+
+    Poco::Net::TCPServerConnection *createConnection(const Poco::Net::StreamSocket &socket) override
+    {
+        return new PeerConnection(socket, m_link);
+    }
+
+private:
+    TcpPeerLink &m_link;
+};
+
+} // namespace
+
+TcpPeerLink::TcpPeerLink(Base::InstanceId self, const std::string &address, std::size_t frameLimit,
+    const Peer::SealedCodec &codec, Base::Scheduler &scheduler, Resolver resolver,
+    Receiver receiver)
+    : m_self(std::move(self))
+    , m_frameLimit(frameLimit)
+    , m_codec(codec)
+    , m_scheduler(scheduler)
+    , m_resolver(std::move(resolver))
+    , m_receiver(std::move(receiver))
+{
+    Poco::Net::TCPServerParams::Ptr params = new Poco::Net::TCPServerParams();
+    params->setMaxThreads(MostConnections);
+    params->setMaxQueued(MostConnections);
+    m_server = std::make_unique<Poco::Net::TCPServer>(new PeerConnectionFactory(*this),
+        Poco::Net::ServerSocket(Poco::Net::SocketAddress(address)), params);
+    m_server->start();
+}
+
+TcpPeerLink::~TcpPeerLink()
+{
+    m_server->stop();
+}
+
+void TcpPeerLink::send(const Base::InstanceId &to, Peer::PeerMessage message)
+{
+    const auto address = m_resolver(to.name);
+    if (address.empty())
+        return;
+    auto &channel = m_channels[to.name];
+    if (!channel || channel->address() != address)
+        channel = std::make_unique<PeerChannel>(address);
+    channel->send(m_codec.encode(Peer::PeerEnvelope{m_self, to, std::move(message)}));
+    ++m_messagesSent;
+}
+
+bool TcpPeerLink::receive(std::string_view bytes)
+{
+    auto outcome = Base::toOutcome<Peer::PeerEnvelope>(
+        [&] { return m_codec.tryDecode<Peer::PeerEnvelope>(bytes); });
+    auto *envelope = std::get_if<Peer::PeerEnvelope>(&outcome);
+    if (!envelope) {
+        ++m_malformed;
+        return false;
+    }
+    const bool isForThisLife = envelope->to.incarnation == 0 || envelope->to == m_self;
+    if (isForThisLife) {
+        m_scheduler.schedule(Base::Milliseconds(),
+            [this, envelope = std::move(*envelope)] { m_receiver(envelope); });
+    }
+    return true;
+}
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/TcpPeerLink.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <Carawaykeel/Adapters/PeerChannel.h>
+#include <Carawaykeel/Base/Scheduler.h>
+#include <Carawaykeel/Peer/PeerEnvelope.h>
+#include <Carawaykeel/Peer/PeerLink.h>
+#include <Carawaykeel/Peer/SealedCodec.h>
+
+#include <Poco/Net/TCPServer.h>
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Carawaykeel::Adapters {
+
+/// Messages between instances over TCP, as sealed frames.
+class TcpPeerLink : public Peer::PeerLink
+{
+public:
+    /// Tells the address of an instance; empty when it is not known.
+    using Resolver = std::function<std::string(const Base::InstanceName &)>;
+    using Receiver = std::function<void(const Peer::PeerEnvelope &)>;
+
+    /// Listens on the address. The receiver is called on the scheduler's thread.
+    TcpPeerLink(Base::InstanceId self, const std::string &address, std::size_t frameLimit,
+        const Peer::SealedCodec &codec, Base::Scheduler &scheduler, Resolver resolver,
+        Receiver receiver);
+    ~TcpPeerLink() override;
+
+    /// Called on the scheduler's thread.
+    void send(const Base::InstanceId &to, Peer::PeerMessage message) override;
+
+    /// Takes one sealed message that a connection has read. Answers false when it is malformed, and
+    /// the connection is to be closed.
+    bool receive(std::string_view bytes);
+
+    std::size_t frameLimit() const { return m_frameLimit; }
+    std::uint64_t malformed() const { return m_malformed; }
+    std::uint64_t messagesSent() const { return m_messagesSent; }
+
+private:
+    const Base::InstanceId m_self;
+    const std::size_t m_frameLimit;
+    const Peer::SealedCodec &m_codec;
+    Base::Scheduler &m_scheduler;
+    Resolver m_resolver;
+    Receiver m_receiver;
+    std::map<Base::InstanceName, std::unique_ptr<PeerChannel>> m_channels;
+    std::atomic<std::uint64_t> m_malformed = 0;
+    std::atomic<std::uint64_t> m_messagesSent = 0;
+    std::unique_ptr<Poco::Net::TCPServer> m_server;
+};
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Adapters/UdpGossipLink.cpp
@@ -0,0 +1,76 @@
+#include <Carawaykeel/Adapters/UdpGossipLink.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Timespan.h>
+#include <array>
+#include <utility>
+
+namespace Carawaykeel::Adapters {
+
+namespace {
+
+constexpr std::size_t LargestDatagram = 65'507;
+const Poco::Timespan StopPoll(0, 200'000);
+
+} // namespace
+
+UdpGossipLink::UdpGossipLink(const std::string &address, const Peer::SealedCodec &codec,
+    Base::Scheduler &scheduler, Receiver receiver)
+    : m_codec(codec)
+    , m_scheduler(scheduler)
+    , m_receiver(std::move(receiver))
+    , m_socket(Poco::Net::SocketAddress(address))
+    , m_thread([this] { run(); })
+{
+}
+
+UdpGossipLink::~UdpGossipLink()
+{
+    m_isStopping = true;
+    m_thread.join();
+}
+
+void UdpGossipLink::send(std::string_view address, const Membership::GossipMessage &message)
+{
+    const auto bytes = m_codec.encode(message);
+    try {
+        m_socket.sendTo(bytes.data(), static_cast<int>(bytes.size()),
+            Poco::Net::SocketAddress(std::string(address)));
+        m_bytesSent += bytes.size();
+        ++m_datagramsSent;
+    } catch (const Poco::Exception &) {
+        // A datagram that cannot be sent is a lost one.
+    }
+}
+
+void UdpGossipLink::run()
+{
+    std::string buf(LargestDatagram, '\0');
+    while (!m_isStopping) {
+        try {
+            if (!m_socket.poll(StopPoll, Poco::Net::Socket::SELECT_READ))
+                continue;
+            Poco::Net::SocketAddress from;
+            const auto n = m_socket.receiveFrom(buf.data(), static_cast<int>(buf.size()), from);
+            if (n > 0)
+                receive(std::string_view(buf.data(), static_cast<std::size_t>(n)));
+        } catch (const Poco::Exception &) {
+            // An earlier datagram was refused by its receiver; the socket goes on.
+        }
+    }
+}
+
+void UdpGossipLink::receive(std::string_view bytes)
+{
+    auto outcome = Base::toOutcome<Membership::GossipMessage>(
+        [&] { return m_codec.tryDecode<Membership::GossipMessage>(bytes); });
+    if (auto *message = std::get_if<Membership::GossipMessage>(&outcome)) {
+        m_scheduler.schedule(
+            Base::Milliseconds(), [this, message = std::move(*message)] { m_receiver(message); });
+        return;
+    }
+    ++m_malformed;
+}
+
+} // namespace Carawaykeel::Adapters
--- /dev/null
+++ b/Libraries/Carawaykeel/Base/ErrorKind.h
@@ -0,0 +1,48 @@
+#pragma once
+
+namespace Carawaykeel::Base {
+
+/// The closed list of everything that can go wrong, for callers, operators and peers alike. The
+/// table in ErrorTable.h gives each its answer.
+enum class ErrorKind {
+    MalformedRequest,
+    MalformedJson,
+    MalformedPeerMessage,
+    HeadersTooLarge,
+    BodyTooLarge,
+    SlowSender,
+    TooManyConnections,
+    WrongKey,
+    NotAllowed,
+    NotFound,
+    MethodNotAllowed,
+    UnknownModel,
+    UnknownService,
+    BudgetExhausted,
+    BudgetUnreachable,
+    MinuteCeiling,
+    QueueFull,
+    QueueDeadline,
+    NoServer,
+    ServerRefused,
+    ServerBroke,
+    ServerTimeout,
+    AnswerIncomplete,
+    AnswerCrossed,
+    ReservationExceeded,
+    BillNotSafe,
+    RequestRunning,
+    RequestUncertain,
+    RequestOutcomeLost,
+    ClaimUnreachable,
+    ShuttingDown,
+    Starting,
+    InvalidSettings,
+    InvalidDeclaration,
+    VersionConflict,
+    PlatformUnreachable,
+    InstanceUnreachable,
+    Internal,
+};
+
+} // namespace Carawaykeel::Base
--- /dev/null
+++ b/Libraries/Carawaykeel/Budget/BudgetCounters.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+
+namespace Carawaykeel::Budget {
+
+/// What the holder of budgets has done since its start.
+struct BudgetCounters
+{
+    std::uint64_t reserved = 0;
+    std::uint64_t refusedExhausted = 0;
+    std::uint64_t refusedUnreachable = 0;
+    std::uint64_t witnessLost = 0;
+    std::uint64_t grantsTaken = 0;
+    std::uint64_t recalls = 0;
+    std::uint64_t flushes = 0;
+};
+
+} // namespace Carawaykeel::Budget
--- /dev/null
+++ b/Libraries/Carawaykeel/Budget/BudgetHolder.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <Carawaykeel/Base/InstanceContext.h>
+#include <Carawaykeel/Budget/BillFlusher.h>
+#include <Carawaykeel/Budget/BudgetCounters.h>
+#include <Carawaykeel/Budget/BudgetPolicy.h>
+#include <Carawaykeel/Budget/GrantAcquirer.h>
+#include <Carawaykeel/Budget/GrantBook.h>
+#include <Carawaykeel/Budget/GrantReturner.h>
+#include <Carawaykeel/Budget/TopUpWriter.h>
+#include <Carawaykeel/Budget/WitnessChooser.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+
+namespace Carawaykeel::Budget {
+
+/// The holder's side of the budgets: reserves before dispatch, settles after, and keeps grants of a
+/// size that suits the use. A reservation counts only once the grant's witness has recorded it.
+class BudgetHolder
+{
+public:
+    BudgetHolder(
+        Base::InstanceContext &context, const BudgetPolicy &policy, WitnessChooser &witnesses);
+
+    /// Begins the periodic upkeep. Call once.
+    void start();
+
+    /// Reserves tokens for one request. Fails with BudgetExhausted or BudgetUnreachable; then
+    /// nothing is reserved and the request must not be dispatched.
+    void reserve(
+        ReservationRequest request, std::function<void(Base::Outcome<Reservation>)> answer);
+
+    /// Settles a reservation whose request was dispatched. Answers true once the bill is safe: the
+    /// witness or the platform has it.
+    void settle(
+        const Reservation &reservation, Base::Tokens used, std::function<void(bool)> whenSafe);
+
+    /// Frees a reservation whose request was never dispatched, and never will be.
+    void cancel(const Reservation &reservation);
+
+    /// Takes the witness's answers and the recalls of peers.
+    void onRecorded(const Peer::ReservationRecorded &message);
+    void onSettlementRecorded(const Peer::SettlementRecorded &message);
+    void onRecall(const Base::InstanceId &from, const Peer::RecallTokens &message);
+    void onReturned(const Base::InstanceId &from, const Peer::TokensReturned &message);
+
+    /// Retires every grant; answers true when all are settled and closed. Reservations fail from
+    /// now on.
+    void handBack(std::function<void(bool)> answer);
+
+    const BudgetCounters &counters() const { return m_counters; }
+    GrantBook &book() { return m_book; }
+    TopUpWriter &topUps() { return m_topUps; }
+
+private:
+    struct Waiting
+    {
+        ReservationRequest request;
+        std::function<void(Base::Outcome<Reservation>)> answer;
+        Base::Milliseconds deadline;
+    };
+    enum class Step { Idle, Acquiring, Recalling };
+    struct Account
+    {
+        std::deque<Waiting> waiting;
+        Step step = Step::Idle;
+        int rounds = 0;
+        std::uint64_t recallRound = 0;
+        std::set<Base::InstanceName> recallOpen;
+        /// Tokens reserved in the present and the last window of the rate of use.
+        Base::Tokens windowTokens;
+        Base::Tokens lastWindowTokens;
+        Base::Milliseconds windowStart;
+    };
+
+    bool tryServe(Waiting &waiting, bool acceptsLess);
+    HeldGrant *findGrant(const Base::BudgetId &budget, Base::Tokens tokens);
+    void begin(HeldGrant &grant, Base::Tokens tokens, Waiting &waiting);
+    void askWitness(const Base::GrantId &id, std::uint64_t number);
+    void loseWitness(const Base::GrantId &id);
+    void dropReservation(HeldGrant &grant, std::uint64_t number);
+    void serveAgain(const ReservationRequest &request,
+        std::function<void(Base::Outcome<Reservation>)> answer, Base::Milliseconds deadline);
+    void pump(const Base::BudgetId &budget);
+    void acquire(const Base::BudgetId &budget);
+    void onAcquired(const Base::BudgetId &budget, AcquireOutcome outcome, Base::Tokens available);
+    void refuseFirst(Account &account, Base::ErrorKind kind);
+    void recall(const Base::BudgetId &budget);
+    void finishRecall(const Base::BudgetId &budget, std::uint64_t round);
+    void sendSettlement(const HeldGrant &grant, std::uint64_t number, const HeldReservation &held);
+    void resendSettlement(const Base::GrantId &id, std::uint64_t number, int triesLeft);
+    void returnWhenFree(const Base::GrantId &id, int triesLeft, std::function<void(bool)> answer);
+    void upkeep();
+    void tidyGrants();
+    void tryHandBack(std::function<void(bool)> answer);
+    void noteUse(Account &account, Base::Tokens tokens);
+    Base::Tokens wantedSize(const Account &account) const;
+
+    Base::InstanceContext &m_context;
+    const BudgetPolicy m_policy;
+    WitnessChooser &m_witnesses;
+    GrantBook m_book;
+    TopUpWriter m_topUps;
+    GrantAcquirer m_acquirer;
+    GrantReturner m_returner;
+    BillFlusher m_flusher;
+    std::map<Base::BudgetId, Account> m_accounts;
+    std::uint64_t m_numbers = 0;
+    std::uint64_t m_rounds = 0;
+    bool m_isHandingBack = false;
+    BudgetCounters m_counters;
+};
+
+} // namespace Carawaykeel::Budget
--- /dev/null
+++ b/Libraries/Carawaykeel/Budget/GrantReclaimer.cpp
@@ -0,0 +1,248 @@
+#include <Carawaykeel/Budget/GrantReclaimer.h>
+
+#include <Carawaykeel/Platform/RowCodec.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace Carawaykeel::Budget {
+
+namespace {
+
+constexpr std::string_view GrantPrefix = "grant/";
+constexpr std::size_t FixedRows = 2;
+
+} // namespace
+
+GrantReclaimer::GrantReclaimer(Base::InstanceContext &context, const BudgetPolicy &policy,
+    GrantWitness &witness, const LifeOracle &lives, AttemptOracle &attempts)
+    : m_context(context)
+    , m_policy(policy)
+    , m_witness(witness)
+    , m_lives(lives)
+    , m_attempts(attempts)
+{
+}
+
+void GrantReclaimer::start()
+{
+    std::uniform_int_distribution<std::int64_t> jitter(0, m_policy.reclaimInterval.count() / 4);
+    const auto pause = m_policy.reclaimInterval + Base::Milliseconds(jitter(m_context.random));
+    m_context.scheduler.schedule(pause, [this] {
+        search();
+        start();
+    });
+}
+
+void GrantReclaimer::search()
+{
+    m_context.table.readRange(
+        std::string(GrantPrefix), [this](const Platform::RangeReply &reply) { onGrants(reply); });
+}
+
+void GrantReclaimer::onGrants(const Platform::RangeReply &reply)
+{
+    if (!reply.reached)
+        return;
+    for (const auto &row : reply.rows)
+        consider(row);
+}
+
+void GrantReclaimer::consider(const Platform::Row &row)
+{
+    const Base::GrantId id(row.key);
+    const auto grant = Platform::decodeRow<GrantRow>(row.value);
+    const auto holder = m_lives.livenessOf(grant.holder);
+    if (grant.holder == m_context.self || holder == Liveness::Alive || m_busy.contains(id))
+        return;
+    auto operation = std::make_shared<Operation>();
+    operation->id = id;
+    operation->row = grant;
+    operation->version = row.version;
+    if (grant.witness == m_context.self) {
+        m_busy.insert(id);
+        m_witness.fence(id);
+        return askEngines(operation);
+    }
+    const bool isWitnessDead = m_lives.livenessOf(grant.witness) == Liveness::CertainlyDead;
+    if (holder == Liveness::CertainlyDead && isWitnessDead) {
+        m_busy.insert(id);
+        writeOff(operation);
+    }
+}
+
+void GrantReclaimer::askEngines(const OperationPointer &operation)
+{
+    auto reports = std::make_shared<Reports>();
+    auto pending = std::make_shared<std::size_t>(1);
+    auto countDown = [this, operation, reports, pending] {
+        if (--*pending == 0)
+            read(operation, reports);
+    };
+    for (const auto &[number, reservation] : m_witness.fence(operation->id).open) {
+        if (reservation.bill || !mayBillOpen(*operation, reservation))
+            continue;
+        // NOTE: A holder that may still wake can dispatch after the engines were asked, so what
+        // they say counts only once it is certainly dead; until then the whole reservation is
+        // billed.
+        if (m_lives.livenessOf(operation->row.holder) != Liveness::CertainlyDead) {
+            reports->emplace(number, AttemptReport{});
+            continue;
+        }
+        ++*pending;
+        m_attempts.ask(reservation.service, operation->id, number,
+            [reports, number = number, countDown](AttemptReport report) {
+                reports->emplace(number, report);
+                countDown();
+            });
+    }
+    countDown();
+}
+
+bool GrantReclaimer::mayBillOpen(
+    const Operation &operation, const WitnessedReservation &reservation) const
+{
+    const bool isDead = m_lives.livenessOf(operation.row.holder) == Liveness::CertainlyDead;
+    const auto age = m_context.scheduler.now() - reservation.recordedAt;
+    return isDead || age >= m_policy.reservationExpiry;
+}
+
+void GrantReclaimer::read(
+    const OperationPointer &operation, const std::shared_ptr<Reports> &reports)
+{
+    std::vector<std::string> keys{operation->id.text(), BudgetRow::rowKey(operation->row.budget)};
+    std::vector<std::uint64_t> asked;
+    for (const auto &[number, reservation] : m_witness.fence(operation->id).open) {
+        asked.push_back(number);
+        keys.push_back(
+            Billing::Bill{reservation.team, reservation.request, {}, {}, 0, {}, false}.rowKey());
+    }
+    m_context.table.readRows(
+        std::move(keys), [this, operation, reports, asked](const Platform::RowsReply &reply) {
+            decide(operation, *reports, asked, reply);
+        });
+}
+
+void GrantReclaimer::decide(const OperationPointer &operation, const Reports &reports,
+    const std::vector<std::uint64_t> &asked, const Platform::RowsReply &reply)
+{
+    if (!reply.reached || !reply.rows.at(0) || !reply.rows.at(1))
+        return finish(operation);
+    operation->row = Platform::decodeRow<GrantRow>(reply.rows.at(0)->value);
+    operation->version = reply.rows.at(0)->version;
+    collectBills(*operation, reports, asked, reply);
+    commit(operation, *reply.rows.at(1));
+}
+
+void GrantReclaimer::collectBills(Operation &operation, const Reports &reports,
+    const std::vector<std::uint64_t> &asked, const Platform::RowsReply &reply)
+{
+    auto &grant = m_witness.fence(operation.id);
+    for (std::size_t n = 0; n < asked.size(); ++n) {
+        const auto it = grant.open.find(asked[n]);
+        if (it == grant.open.end())
+            continue;
+        const auto &present = reply.rows.at(n + FixedRows);
+        if (present) {
+            // The holder's flush has landed, or another run of the request was billed; then the
+            // house bears this one.
+            operation.finished.push_back(asked[n]);
+            continue;
+        }
+        const auto &reservation = it->second;
+        const auto report = reports.find(asked[n]);
+        if (reservation.bill) {
+            operation.bills.push_back(*reservation.bill);
+        } else if (report == reports.end()) {
+            continue;
+        } else if (report->second.knowledge != AttemptKnowledge::NeverSeen) {
+            const bool isKnown = report->second.knowledge == AttemptKnowledge::Finished;
+            const auto tokens =
+                isKnown ? std::min(report->second.tokens, reservation.tokens) : reservation.tokens;
+            operation.bills.push_back({reservation.team, reservation.request, reservation.budget,
+                operation.id, asked[n], tokens, true});
+        }
+        operation.finished.push_back(asked[n]);
+    }
+}
+
+void GrantReclaimer::commit(const OperationPointer &operation, const Platform::Row &budget)
+{
+    auto row = operation->row;
+    auto books = Platform::decodeRow<BudgetRow>(budget.value);
+    Platform::Transaction transaction;
+    for (const auto &bill : operation->bills) {
+        row.settled += bill.tokens;
+        transaction.put(bill.rowKey(), Platform::encodeRow(bill), Platform::AbsentVersion);
+    }
+    const auto &grant = m_witness.fence(operation->id);
+    Base::Tokens stillOpen;
+    for (const auto &[number, reservation] : grant.open) {
+        if (std::find(operation->finished.begin(), operation->finished.end(), number)
+            == operation->finished.end())
+            stillOpen += reservation.bill ? reservation.bill->tokens : reservation.tokens;
+    }
+    operation->isClosing = grant.open.size() == operation->finished.size();
+    const auto amount = std::min(row.amount, row.settled + stillOpen);
+    const auto back = row.amount - amount;
+    const bool isNews =
+        back > Base::Tokens() || operation->isClosing || !row.isFenced || !operation->bills.empty();
+    if (!isNews)
+        return finish(operation);
+    books.granted -= back;
+    row.amount = amount;
+    row.isFenced = true;
+    row.lastWrite = "";
+    if (operation->isClosing) {
+        books.granted -= row.amount;
+        books.settled += row.amount;
+        books.removeGrant(operation->id);
+        transaction.remove(operation->id.text(), operation->version);
+    } else {
+        transaction.put(operation->id.text(), Platform::encodeRow(row), operation->version);
+    }
+    transaction.put(BudgetRow::rowKey(row.budget), Platform::encodeRow(books), budget.version);
+    m_context.table.commit(std::move(transaction), [this, operation](Platform::CommitReply reply) {
+        // After a conflict or a lost answer the next search reads again and decides anew.
+        if (reply.outcome == Platform::CommitOutcome::Committed) {
+            ++m_reclaimed;
+            for (const auto number : operation->finished)
+                m_witness.finish(operation->id, number);
+        }
+        finish(operation);
+    });
+}
+
+void GrantReclaimer::writeOff(const OperationPointer &operation)
+{
+    std::vector<std::string> keys{operation->id.text(), BudgetRow::rowKey(operation->row.budget)};
+    m_context.table.readRows(std::move(keys), [this, operation](const Platform::RowsReply &reply) {
+        if (!reply.reached || !reply.rows.at(0) || !reply.rows.at(1))
+            return finish(operation);
+        const auto row = Platform::decodeRow<GrantRow>(reply.rows.at(0)->value);
+        auto books = Platform::decodeRow<BudgetRow>(reply.rows.at(1)->value);
+        books.granted -= row.amount;
+        books.settled += row.amount;
+        books.removeGrant(operation->id);
+        Platform::Transaction transaction;
+        transaction.remove(operation->id.text(), reply.rows.at(0)->version);
+        transaction.put(
+            "loss/" + operation->id.text(), Platform::encodeRow(row), Platform::AbsentVersion);
+        transaction.put(
+            BudgetRow::rowKey(row.budget), Platform::encodeRow(books), reply.rows.at(1)->version);
+        m_context.table.commit(
+            std::move(transaction), [this, operation](Platform::CommitReply commit) {
+                if (commit.outcome == Platform::CommitOutcome::Committed)
+                    ++m_writtenOff;
+                finish(operation);
+            });
+    });
+}
+
+void GrantReclaimer::finish(const OperationPointer &operation)
+{
+    m_busy.erase(operation->id);
+}
+
+} // namespace Carawaykeel::Budget
--- /dev/null
+++ b/Libraries/Carawaykeel/Budget/GrantReclaimer.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <Carawaykeel/Base/InstanceContext.h>
+#include <Carawaykeel/Budget/AttemptOracle.h>
+#include <Carawaykeel/Budget/BudgetPolicy.h>
+#include <Carawaykeel/Budget/BudgetRow.h>
+#include <Carawaykeel/Budget/GrantRow.h>
+#include <Carawaykeel/Budget/GrantWitness.h>
+#include <Carawaykeel/Budget/LifeOracle.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace Carawaykeel::Budget {
+
+/// Brings back the tokens of grants whose holder is missing. A missed holder's grant is fenced at
+/// its witness, and what is not reserved goes back to the budget at once; that needs no clock and
+/// no certainty. Open reservations are billed when the holder is certainly dead, or long after. A
+/// grant whose holder and witness are both certainly dead is closed as spent, since nobody knows
+/// what was reserved last.
+class GrantReclaimer
+{
+public:
+    GrantReclaimer(Base::InstanceContext &context, const BudgetPolicy &policy,
+        GrantWitness &witness, const LifeOracle &lives, AttemptOracle &attempts);
+
+    /// Begins the periodic search. Call once.
+    void start();
+
+    std::uint64_t reclaimed() const { return m_reclaimed; }
+    std::uint64_t writtenOff() const { return m_writtenOff; }
+
+private:
+    /// What the engines said of a grant's open reservations.
+    using Reports = std::map<std::uint64_t, AttemptReport>;
+
+    struct Operation
+    {
+        Base::GrantId id;
+        GrantRow row;
+        std::uint64_t version = 0;
+        /// The bills that this write inserts.
+        std::vector<Billing::Bill> bills;
+        /// Reservations that are over once the write has landed.
+        std::vector<std::uint64_t> finished;
+        bool isClosing = false;
+    };
+    using OperationPointer = std::shared_ptr<Operation>;
+
+    void search();
+    void onGrants(const Platform::RangeReply &reply);
+    void consider(const Platform::Row &row);
+    void askEngines(const OperationPointer &operation);
+    void read(const OperationPointer &operation, const std::shared_ptr<Reports> &reports);
+    void decide(const OperationPointer &operation, const Reports &reports,
+        const std::vector<std::uint64_t> &asked, const Platform::RowsReply &reply);
+    void collectBills(Operation &operation, const Reports &reports,
+        const std::vector<std::uint64_t> &asked, const Platform::RowsReply &reply);
+    void commit(const OperationPointer &operation, const Platform::Row &budget);
+    void writeOff(const OperationPointer &operation);
+    void finish(const OperationPointer &operation);
+    bool mayBillOpen(const Operation &operation, const WitnessedReservation &reservation) const;
+
+    Base::InstanceContext &m_context;
+    const BudgetPolicy m_policy;
+    GrantWitness &m_witness;
+    const LifeOracle &m_lives;
+    AttemptOracle &m_attempts;
+    std::set<Base::GrantId> m_busy;
+    std::uint64_t m_reclaimed = 0;
+    std::uint64_t m_writtenOff = 0;
+};
+
+} // namespace Carawaykeel::Budget
--- /dev/null
+++ b/Libraries/Carawaykeel/Budget/HeldGrant.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <Carawaykeel/Base/Result.h>
+#include <Carawaykeel/Billing/Bill.h>
+#include <Carawaykeel/Budget/GrantRow.h>
+#include <Carawaykeel/Budget/Reservation.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Carawaykeel::Budget {
+
+/// How far a reservation has come.
+enum class ReservationPhase { Asked, Recorded, Settled };
+
+/// A reservation as its holder keeps it, until the platform has its bill.
+struct HeldReservation
+{
+    ReservationRequest request;
+    Base::Tokens tokens;
+    ReservationPhase phase = ReservationPhase::Asked;
+    int tries = 0;
+    std::function<void(Base::Outcome<Reservation>)> answer;
+    Base::Milliseconds deadline;
+    std::optional<Billing::Bill> bill;
+    /// True once the witness or the platform has the bill.
+    bool isSafe = false;
+    std::vector<std::function<void(bool)>> whenSafe;
+};
+
+/// What may still be done with a grant.
+enum class GrantState {
+    /// Reservations are made.
+    Open,
+    /// No more reservations; what is open is settled, then the grant is closed.
+    Retiring,
+};
+
+/// A grant as its holder keeps it.
+struct HeldGrant
+{
+    Base::GrantId id;
+    GrantRow row;
+    std::uint64_t version = 0;
+    GrantState state = GrantState::Open;
+    /// Tokens of reservations that are not settled.
+    Base::Tokens reserved;
+    /// Tokens of bills that the platform does not have yet.
+    Base::Tokens unflushed;
+    /// Tokens that a write under way returns to the budget.
+    Base::Tokens returning;
+    /// Set while a write of the row is under way; there is never more than one.
+    bool isWriting = false;
+    Base::Milliseconds lastUsed;
+    std::map<std::uint64_t, HeldReservation> reservations;
+
+    /// What new reservations may take.
+    Base::Tokens unreserved() const
+    {
+        return row.amount - row.settled - unflushed - reserved - returning;
+    }
+};
+
+} // namespace Carawaykeel::Budget
--- /dev/null
+++ b/Libraries/Carawaykeel/Budget/LifeOracle.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <Carawaykeel/Base/InstanceId.h>
+
+namespace Carawaykeel::Budget {
+
+/// What is known of another life of an instance.
+enum class Liveness {
+    /// It answers, or has not been missed yet.
+    Alive,
+    /// It has been missed; it may be dead, paused or cut off.
+    Suspected,
+    /// It is over for certain: a later life of the same name has been seen, the list of VMs says
+    /// that the VM is gone and the settings let it be believed, or an operator said so.
+    CertainlyDead,
+};
+
+/// Answers whether a life of an instance goes on.
+class LifeOracle
+{
+public:
+    virtual ~LifeOracle() = default;
+
+    virtual Liveness livenessOf(const Base::InstanceId &instance) const = 0;
+};
+
+} // namespace Carawaykeel::Budget
--- /dev/null
+++ b/Libraries/Carawaykeel/Budget/TopUpWriter.cpp
@@ -0,0 +1,109 @@
+#include <Carawaykeel/Budget/TopUpWriter.h>
+
+#include <Carawaykeel/Platform/RowCodec.h>
+
+#include <utility>
+
+namespace Carawaykeel::Budget {
+
+TopUpWriter::TopUpWriter(Base::InstanceContext &context, const BudgetPolicy &policy)
+    : m_context(context)
+    , m_policy(policy)
+{
+}
+
+void TopUpWriter::setDeclared(const Base::BudgetId &budget, std::vector<TopUpOrder> orders)
+{
+    m_declared[budget] = std::move(orders);
+}
+
+void TopUpWriter::ensureDeclared(const Base::BudgetId &budget, std::function<void(bool)> answer)
+{
+    std::vector<TopUpOrder> missing;
+    const auto it = m_declared.find(budget);
+    if (it != m_declared.end()) {
+        for (const auto &order : it->second) {
+            if (!m_counted[budget].contains(order.id))
+                missing.push_back(order);
+        }
+    }
+    if (missing.empty())
+        return answer(true);
+    write(budget, std::move(missing), [answer](const Base::Outcome<BudgetRow> &outcome) {
+        const auto *failure = std::get_if<Base::Failure>(&outcome);
+        answer(!failure || failure->kind != Base::ErrorKind::PlatformUnreachable);
+    });
+}
+
+void TopUpWriter::topUp(const Base::BudgetId &budget, const TopUpOrder &order,
+    std::function<void(Base::Outcome<BudgetRow>)> answer)
+{
+    write(budget, {order}, std::move(answer));
+}
+
+void TopUpWriter::write(const Base::BudgetId &budget, std::vector<TopUpOrder> orders,
+    std::function<void(Base::Outcome<BudgetRow>)> answer)
+{
+    read(std::make_shared<Operation>(Operation{budget, std::move(orders), std::move(answer),
+        Base::BackOff(m_policy.smallestBackOff, m_policy.largestBackOff),
+        m_context.scheduler.now() + m_policy.grantDeadline}));
+}
+
+void TopUpWriter::read(const OperationPointer &operation)
+{
+    std::vector<std::string> keys{BudgetRow::rowKey(operation->budget)};
+    for (const auto &order : operation->orders)
+        keys.push_back(TopUpRow::rowKey(operation->budget, order.id));
+    m_context.table.readRows(std::move(keys),
+        [this, operation](const Platform::RowsReply &reply) { decide(operation, reply); });
+}
+
+void TopUpWriter::decide(const OperationPointer &operation, const Platform::RowsReply &reply)
+{
+    if (!reply.reached)
+        return tryLater(operation);
+    BudgetRow books;
+    std::uint64_t version = Platform::AbsentVersion;
+    if (const auto &row = reply.rows.front()) {
+        books = Platform::decodeRow<BudgetRow>(row->value);
+        version = row->version;
+    }
+    Platform::Transaction transaction;
+    for (std::size_t n = 0; n < operation->orders.size(); ++n) {
+        const auto &order = operation->orders[n];
+        if (const auto &counted = reply.rows.at(n + 1)) {
+            m_counted[operation->budget].insert(order.id);
+            if (Platform::decodeRow<TopUpRow>(counted->value).tokens != order.tokens)
+                return operation->answer(Base::Failure{Base::ErrorKind::VersionConflict,
+                    "top-up " + order.id.text() + " was counted with another amount", {}});
+            continue;
+        }
+        books.toppedUp += order.tokens;
+        transaction.put(TopUpRow::rowKey(operation->budget, order.id),
+            Platform::encodeRow(TopUpRow{order.tokens}), Platform::AbsentVersion);
+    }
+    if (transaction.writes.empty())
+        return operation->answer(books);
+    transaction.put(BudgetRow::rowKey(operation->budget), Platform::encodeRow(books), version);
+    m_context.table.commit(
+        std::move(transaction), [this, operation, books](Platform::CommitReply commit) {
+            // A conflict or a lost answer is settled by reading again: a counted id has its row.
+            if (commit.outcome != Platform::CommitOutcome::Committed)
+                return tryLater(operation);
+            for (const auto &order : operation->orders)
+                m_counted[operation->budget].insert(order.id);
+            operation->answer(books);
+        });
+}
+
+void TopUpWriter::tryLater(const OperationPointer &operation)
+{
+    const auto pause = operation->backOff.next(m_context.random);
+    if (m_context.scheduler.now() + pause >= operation->deadline) {
+        return operation->answer(Base::Failure{Base::ErrorKind::PlatformUnreachable,
+            "the top-up may have been counted; try the same id again", Base::Milliseconds(1'000)});
+    }
+    m_context.scheduler.schedule(pause, [this, operation] { read(operation); });
+}
+
+} // namespace Carawaykeel::Budget
--- /dev/null
+++ b/Libraries/Carawaykeel/Configuration/DeclarationParser.cpp
@@ -0,0 +1,213 @@
+#include <Carawaykeel/Configuration/DeclarationParser.h>
+
+#include <Carawaykeel/Configuration/ObjectReader.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace Carawaykeel::Configuration {
+
+namespace {
+
+constexpr std::int64_t MostTokens = 1'000'000'000'000'000;
+constexpr std::int64_t MostCapacity = 100'000;
+constexpr std::size_t DigestLength = 64;
+
+const std::vector<std::string_view> PriorityWords{"urgent", "high", "normal", "low"};
+const std::vector<std::string_view> KindWords{"models", "plain"};
+const std::vector<std::string_view> RoleWords{"entry", "server"};
+
+/// Names that must not stand twice.
+class UniqueNames
+{
+public:
+    void note(ObjectReader &reader, std::string_view key, const std::string &name)
+    {
+        if (!name.empty() && !m_names.insert(name).second)
+            reader.addFault(key, "a name that stands only once, not \"" + name + "\" again");
+    }
+    bool contains(const std::string &name) const { return m_names.contains(name); }
+
+private:
+    std::set<std::string> m_names;
+};
+
+/// Builds the declaration piece by piece and checks that the pieces fit together.
+class Builder
+{
+public:
+    Builder(Declaration &declaration, Faults &faults)
+        : m_declaration(declaration)
+        , m_faults(faults)
+    {
+    }
+
+    void read(std::string_view document)
+    {
+        auto root = ObjectReader::parse(document, m_faults);
+        if (!m_faults.empty())
+            return;
+        auto rules = root.requireObject("rules");
+        for (auto &reader : rules.optionalObjects("budgets"))
+            readBudget(reader);
+        for (auto &reader : rules.optionalObjects("teams"))
+            readTeam(reader);
+        for (auto &reader : rules.optionalObjects("services"))
+            readService(reader);
+        auto inventory = root.requireObject("inventory");
+        for (auto &reader : inventory.optionalObjects("vms"))
+            readVm(reader);
+        readLeaving(rules);
+        rules.finish();
+        inventory.finish();
+        root.finish();
+    }
+
+private:
+    void readBudget(ObjectReader &reader)
+    {
+        BudgetDeclaration budget;
+        budget.id = Base::BudgetId(reader.requireName("id"));
+        m_budgets.note(reader, "id", budget.id.text());
+        UniqueNames ids;
+        for (auto &entry : reader.optionalObjects("top_ups")) {
+            TopUp topUp;
+            topUp.id = Base::TopUpId(entry.requireName("id"));
+            ids.note(entry, "id", topUp.id.text());
+            topUp.tokens = Base::Tokens(entry.requireInteger("tokens", 1, MostTokens));
+            entry.finish();
+            budget.topUps.push_back(std::move(topUp));
+        }
+        reader.finish();
+        m_declaration.budgets.push_back(std::move(budget));
+    }
+
+    void readTeam(ObjectReader &reader)
+    {
+        TeamDeclaration team;
+        team.id = Base::TeamId(reader.requireName("id"));
+        m_teams.note(reader, "id", team.id.text());
+        team.budget = Base::BudgetId(reader.requireName("budget"));
+        if (!m_budgets.contains(team.budget.text()))
+            reader.addFault(
+                "budget", "the id of a declared budget, not \"" + team.budget.text() + "\"");
+        for (const auto &digest : reader.optionalTexts("key_sha256")) {
+            const bool isDigest = digest.size() == DigestLength
+                && digest.find_first_not_of("0123456789abcdef") == std::string::npos;
+            if (!isDigest)
+                reader.addFault("key_sha256", "64 hexadecimal digits in lower case");
+            else if (!m_keys.insert(digest).second)
+                reader.addFault("key_sha256", "a key that only one team has");
+            team.keyDigests.push_back(digest);
+        }
+        if (reader.has("priority"))
+            team.priority =
+                static_cast<Routing::Priority>(reader.requireWord("priority", PriorityWords));
+        reader.finish();
+        m_declaration.teams.push_back(std::move(team));
+    }
+
+    void readService(ObjectReader &reader)
+    {
+        ServiceDeclaration service;
+        service.name = Base::ServiceName(reader.requireName("name"));
+        m_services.note(reader, "name", service.name.text());
+        service.kind = static_cast<ServiceKind>(reader.requireWord("kind", KindWords));
+        for (const auto &model : reader.optionalTexts("models")) {
+            if (!isName(model))
+                reader.addFault("models", "names of models");
+            m_models.note(reader, "models", model);
+            service.models.emplace_back(model);
+        }
+        for (auto &entry : reader.optionalObjects("routes"))
+            service.routes.push_back(readRoute(entry));
+        const auto tokens = [&](std::string_view key, Base::Tokens fallback,
+                                std::int64_t smallest) {
+            return Base::Tokens(
+                reader.optionalInteger(key, fallback.count(), smallest, MostTokens));
+        };
+        service.tokensPerRequest = tokens("tokens_per_request", service.tokensPerRequest, 0);
+        service.minuteCeiling = tokens("minute_ceiling", service.minuteCeiling, 0);
+        service.defaultMaxTokens = tokens("default_max_tokens", service.defaultMaxTokens, 1);
+        service.leastMaxTokens = tokens("least_max_tokens", service.leastMaxTokens, 1);
+        service.checksFencing = reader.optionalFlag("checks_fencing", false);
+        service.isUrgent = reader.optionalFlag("urgent", false);
+        service.keepsAttempts = reader.optionalFlag("keeps_attempts", false);
+        m_capacities.push_back(
+            static_cast<int>(reader.optionalInteger("capacity_per_server", 8, 1, MostCapacity)));
+        if (service.kind == ServiceKind::Models && service.models.empty())
+            reader.addFault("models", "at least one model");
+        reader.finish();
+        m_declaration.services.push_back(std::move(service));
+    }
+
+    static RouteDeclaration readRoute(ObjectReader &reader)
+    {
+        RouteDeclaration route;
+        route.method = reader.requireText("method");
+        route.pathPrefix = reader.requireText("path");
+        route.isIdempotent = reader.optionalFlag("idempotent", false);
+        if (!route.pathPrefix.starts_with('/'))
+            reader.addFault("path", "a path that begins with /");
+        reader.finish();
+        return route;
+    }
+
+    void readVm(ObjectReader &reader)
+    {
+        const auto name = reader.requireName("name");
+        m_vms.note(reader, "name", name);
+        const Base::DataCentre dataCentre(reader.requireName("data_centre"));
+        const auto role = reader.requireWord("role", RoleWords);
+        if (role == 0) {
+            m_declaration.entryVms.push_back({Base::InstanceName(name), dataCentre});
+            return reader.finish();
+        }
+        const auto service = reader.requireName("service");
+        const auto address = reader.requireAddress("address");
+        m_servers.insert(name);
+        auto &services = m_declaration.services;
+        const auto it = std::find_if(services.begin(), services.end(),
+            [&](const ServiceDeclaration &declared) { return declared.name.text() == service; });
+        if (it == services.end()) {
+            reader.addFault("service", "the name of a declared service, not \"" + service + "\"");
+        } else {
+            const auto capacity = m_capacities.at(static_cast<std::size_t>(it - services.begin()));
+            it->servers.push_back({Base::ServerName(name), address, dataCentre, capacity});
+        }
+        reader.finish();
+    }
+
+    void readLeaving(ObjectReader &rules)
+    {
+        for (const auto &name : rules.optionalTexts("leaving")) {
+            if (!m_servers.contains(name))
+                rules.addFault(
+                    "leaving", "names of servers in the inventory, not \"" + name + "\"");
+            m_declaration.leaving.emplace_back(name);
+        }
+    }
+
+    Declaration &m_declaration;
+    Faults &m_faults;
+    UniqueNames m_budgets;
+    UniqueNames m_teams;
+    UniqueNames m_services;
+    UniqueNames m_models;
+    UniqueNames m_vms;
+    std::set<std::string> m_keys;
+    std::set<std::string> m_servers;
+    std::vector<int> m_capacities;
+};
+
+} // namespace
+
+ParsedDeclaration parseDeclaration(std::string_view document)
+{
+    ParsedDeclaration parsed;
+    Builder(parsed.declaration, parsed.faults).read(document);
+    return parsed;
+}
+
+} // namespace Carawaykeel::Configuration
--- /dev/null
+++ b/Libraries/Carawaykeel/Control/OperatorClient.cpp
@@ -0,0 +1,80 @@
+#include <Carawaykeel/Control/OperatorClient.h>
+
+#include <Carawaykeel/Adapters/HttpAnswers.h>
+#include <Carawaykeel/Base/ErrorTable.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/Timespan.h>
+#include <utility>
+
+namespace Carawaykeel::Control {
+
+namespace {
+
+const Poco::Timespan Timeout(10, 0);
+
+Base::ErrorKind kindNamed(const std::string &name)
+{
+    for (const auto &answer : Base::allErrorAnswers()) {
+        if (answer.name == name)
+            return answer.kind;
+    }
+    return Base::ErrorKind::Internal;
+}
+
+} // namespace
+
+OperatorClient::OperatorClient(std::string address, std::string key)
+    : m_address(std::move(address))
+    , m_key(std::move(key))
+{
+}
+
+Base::Result<Poco::JSON::Object::Ptr> OperatorClient::tryGet(const std::string &path) const
+{
+    return tryCall(Poco::Net::HTTPRequest::HTTP_GET, path, "");
+}
+
+Base::Result<Poco::JSON::Object::Ptr> OperatorClient::tryPost(
+    const std::string &path, const Poco::JSON::Object &body) const
+{
+    return tryCall(Poco::Net::HTTPRequest::HTTP_POST, path, Adapters::toText(body));
+}
+
+Base::Result<Poco::JSON::Object::Ptr> OperatorClient::tryCall(
+    const std::string &method, const std::string &path, const std::string &body) const
+{
+    std::string text;
+    int status = 0;
+    try {
+        Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(m_address)};
+        session.setTimeout(Timeout);
+        Poco::Net::HTTPRequest request(method, path, Poco::Net::HTTPMessage::HTTP_1_1);
+        request.set("Authorization", "Bearer " + m_key);
+        request.setContentType("application/json");
+        request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+        session.sendRequest(request) << body << std::flush;
+        Poco::Net::HTTPResponse response;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), text);
+        status = response.getStatus();
+    } catch (const Poco::Exception &ex) {
+        return Base::fail(
+            Base::ErrorKind::InstanceUnreachable, m_address + ": " + ex.displayText());
+    }
+    BOOST_LEAF_AUTO(object, Adapters::tryParseObject(text));
+    if (status == Poco::Net::HTTPResponse::HTTP_OK)
+        return object;
+    const auto error = object->getObject("error");
+    if (error.isNull())
+        return Base::fail(
+            Base::ErrorKind::InstanceUnreachable, m_address + ": status " + std::to_string(status));
+    return Base::fail(kindNamed(error->optValue<std::string>("kind", "")),
+        error->optValue<std::string>("message", ""));
+}
+
+} // namespace Carawaykeel::Control
--- /dev/null
+++ b/Libraries/Carawaykeel/Fleet/EventLoop.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <Carawaykeel/Base/Scheduler.h>
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <queue>
+#include <thread>
+#include <vector>
+
+namespace Carawaykeel::Fleet {
+
+/// Runs the decisions' tasks one after another on a thread of its own, by the steady clock. Any
+/// thread may schedule.
+class EventLoop : public Base::Scheduler
+{
+public:
+    EventLoop();
+    ~EventLoop() override;
+
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    Base::Milliseconds now() const override;
+    void schedule(Base::Milliseconds delay, std::function<void()> task) override;
+
+    /// Runs the task as soon as the thread is free.
+    void post(std::function<void()> task) { schedule(Base::Milliseconds(), std::move(task)); }
+
+    /// Ends the thread after the task that runs now. Tasks that wait are dropped.
+    void stop();
+
+private:
+    struct Timer
+    {
+        Base::Milliseconds when;
+        std::uint64_t order;
+        std::function<void()> task;
+
+        bool operator>(const Timer &other) const
+        {
+            return when != other.when ? when > other.when : order > other.order;
+        }
+    };
+
+    void run();
+
+    const std::chrono::steady_clock::time_point m_origin;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
+    std::uint64_t m_order = 0;
+    bool m_isStopping = false;
+    std::thread m_thread;
+};
+
+} // namespace Carawaykeel::Fleet
--- /dev/null
+++ b/Libraries/Carawaykeel/Membership/GossipMessage.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <Carawaykeel/Membership/Member.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace Carawaykeel::Membership {
+
+/// What a datagram between instances asks or answers.
+enum class GossipKind : std::uint8_t {
+    Ping,
+    Acknowledge,
+    /// Asks the receiver to ping the target for the sender.
+    PingRequest,
+};
+
+/// One datagram. Each carries the sender, the version of its configuration and some news.
+struct GossipMessage
+{
+    GossipKind kind = GossipKind::Ping;
+    std::uint64_t sequence = 0;
+    Member sender;
+    /// The member to probe, for a ping request.
+    Base::InstanceName target;
+    std::uint64_t configurationVersion = 0;
+    std::vector<Member> news;
+    /// Backend servers that are leaving.
+    std::vector<Base::ServerName> leavingServers;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(kind, sequence, sender, target, configurationVersion, news, leavingServers);
+    }
+};
+
+} // namespace Carawaykeel::Membership
--- /dev/null
+++ b/Libraries/Carawaykeel/Peer/BoundedInputArchive.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cereal/archives/binary.hpp>
+#include <cereal/cereal.hpp>
+#include <cstddef>
+#include <cstring>
+#include <span>
+#include <type_traits>
+
+namespace Carawaykeel::Peer {
+
+/// Reads what cereal's binary archive wrote, from bytes that nobody vouches for: no read goes past
+/// the end, and no container may claim more elements than bytes are left. Faults are cereal's
+/// exceptions.
+class BoundedInputArchive
+    : public cereal::InputArchive<BoundedInputArchive, cereal::AllowEmptyClassElision>
+{
+public:
+    explicit BoundedInputArchive(std::span<const char> bytes)
+        : InputArchive(this)
+        , m_left(bytes)
+    {
+    }
+
+    void loadBinary(void *data, std::size_t size)
+    {
+        if (size > m_left.size())
+            throw cereal::Exception("message is too short");
+        std::memcpy(data, m_left.data(), size);
+        m_left = m_left.subspan(size);
+    }
+
+    std::size_t left() const { return m_left.size(); }
+
+private:
+    std::span<const char> m_left;
+};
+
+// The names and forms below are what cereal asks of an archive.
+// NOLINTBEGIN(readability-identifier-naming)
+template <class T>
+std::enable_if_t<std::is_arithmetic_v<T>> CEREAL_LOAD_FUNCTION_NAME(
+    BoundedInputArchive &archive, T &value)
+{
+    archive.loadBinary(std::addressof(value), sizeof(value));
+}
+
+template <class T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(BoundedInputArchive &archive, cereal::NameValuePair<T> &pair)
+{
+    archive(pair.value);
+}
+
+template <class T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(BoundedInputArchive &archive, cereal::SizeTag<T> &tag)
+{
+    archive(tag.size);
+    if (tag.size > archive.left())
+        throw cereal::Exception("container claims more than the message holds");
+}
+
+template <class T>
+void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive &archive, cereal::BinaryData<T> &data)
+{
+    archive.loadBinary(data.data, static_cast<std::size_t>(data.size));
+}
+// NOLINTEND(readability-identifier-naming)
+
+} // namespace Carawaykeel::Peer
+
+CEREAL_REGISTER_ARCHIVE(Carawaykeel::Peer::BoundedInputArchive)
+
+/// Tells cereal which archive wrote what this one reads. Its own macro would also set the way back,
+/// which belongs to cereal's binary input.
+template <>
+struct cereal::traits::detail::get_output_from_input<Carawaykeel::Peer::BoundedInputArchive>
+{
+    using type = cereal::BinaryOutputArchive;
+};
--- /dev/null
+++ b/Libraries/Carawaykeel/Platform/Row.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace Carawaykeel::Platform {
+
+/// A row of the platform's table service. Versions come from one growing counter of the service, so
+/// a row that was deleted and made anew never has an old version.
+struct Row
+{
+    std::string key;
+    std::string value;
+    std::uint64_t version = 0;
+};
+
+} // namespace Carawaykeel::Platform
--- /dev/null
+++ b/Libraries/Carawaykeel/Platform/RowCodec.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <Carawaykeel/Base/Result.h>
+#include <Carawaykeel/Base/Verify.h>
+
+#include <cereal/archives/json.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <exception>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+namespace Carawaykeel::Platform {
+
+/// The text that a typed row has in the table service: JSON, so that operators can read it there.
+template <typename T>
+std::string encodeRow(const T &row)
+{
+    std::ostringstream stream;
+    {
+        cereal::JSONOutputArchive archive(stream, cereal::JSONOutputArchive::Options::NoIndent());
+        archive(cereal::make_nvp("row", row));
+    }
+    return stream.str();
+}
+
+/// Reads a typed row back. Fails with Internal when the text is not such a row.
+template <typename T>
+Base::Result<T> tryDecodeRow(std::string_view text)
+{
+    try {
+        std::istringstream stream{std::string(text)};
+        cereal::JSONInputArchive archive(stream);
+        T row;
+        archive(cereal::make_nvp("row", row));
+        return row;
+    } catch (const std::exception &ex) {
+        return Base::fail(Base::ErrorKind::Internal, ex.what());
+    }
+}
+
+/// Reads a row that this project wrote itself. A row that cannot be read ends the process: with
+/// books that cannot be read nothing may be spent.
+template <typename T>
+T decodeRow(std::string_view text)
+{
+    auto outcome = Base::toOutcome<T>([&] { return tryDecodeRow<T>(text); });
+    Base::verify(std::holds_alternative<T>(outcome), "a row of the platform's table can be read");
+    return std::get<T>(std::move(outcome));
+}
+
+} // namespace Carawaykeel::Platform
--- /dev/null
+++ b/Services/Carawaykeeld/main.cpp
@@ -0,0 +1,75 @@
+#include <Carawaykeel/Adapters/Daemon.h>
+#include <Carawaykeel/Adapters/SettingsParser.h>
+#include <Carawaykeel/Configuration/Fault.h>
+
+#include <CLI/CLI.hpp>
+#include <Poco/Exception.h>
+#include <csignal>
+#include <fmt/core.h>
+#include <fstream>
+#include <iterator>
+#include <string>
+#include <thread>
+
+namespace {
+
+constexpr int ExitOk = 0;
+constexpr int ExitNotHandedBack = 1;
+constexpr int ExitBadInput = 2;
+constexpr int ExitUnreachable = 4;
+
+/// Signals are waited for by one thread, so that no handler runs in the midst of other code.
+void waitForSignals(const sigset_t &signals, Carawaykeel::Adapters::Daemon &daemon)
+{
+    while (true) {
+        int signal = 0;
+        if (sigwait(&signals, &signal) == 0)
+            daemon.requestShutDown();
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("carawaykeeld: one instance of the router fleet, on one entry VM.");
+    std::string file;
+    bool isCheck = false;
+    app.add_option("--settings", file, "Settings file, JSON with comments (docs/OPERATING.md)")
+        ->required();
+    app.add_flag("--check", isCheck, "Check the settings and exit: 0 if they hold, 2 if not");
+    CLI11_PARSE(app, argc, argv);
+
+    std::ifstream stream(file);
+    if (!stream) {
+        fmt::print(stderr, "{}: (document): expected a file that can be read\n", file);
+        return ExitBadInput;
+    }
+    const std::string document{std::istreambuf_iterator<char>(stream), {}};
+    auto parsed = Carawaykeel::Adapters::parseSettings(document);
+    if (!parsed.faults.empty()) {
+        fmt::print(stderr, "{}", Carawaykeel::Configuration::describeFaults(parsed.faults, file));
+        return ExitBadInput;
+    }
+    if (isCheck)
+        return ExitOk;
+
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        Carawaykeel::Adapters::Daemon daemon(std::move(parsed.settings));
+        std::thread(waitForSignals, std::cref(signals), std::ref(daemon)).detach();
+        const bool isHandedBack = daemon.wait();
+        // NOTE: The detached thread still refers to the daemon, so the process ends without undoing
+        // it.
+        std::fflush(stderr);
+        std::_Exit(isHandedBack ? ExitOk : ExitNotHandedBack);
+    } catch (const Poco::Exception &ex) {
+        fmt::print(stderr, "level=fatal event=cannot_start reason=\"{}\"\n", ex.displayText());
+        return ExitUnreachable;
+    }
+}
