--- /dev/null
+++ b/Tests/StandIns/StandInServer.cpp
@@ -0,0 +1,99 @@
+#include "StandInServer.h"
+
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/ThreadPool.h>
+#include <csignal>
+#include <sstream>
+#include <utility>
+
+namespace StandIns {
+
+namespace {
+
+constexpr int MostThreads = 700;
+constexpr int StackSize = 256 * 1'024;
+constexpr int IdleSeconds = 10;
+
+class Handler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit Handler(const std::function<void(Request &, Response &)> &function)
+        : m_function(function)
+    {
+    }
+    void handleRequest(Request &request, Response &response) override
+    {
+        m_function(request, response);
+    }
+
+private:
+    const std::function<void(Request &, Response &)> &m_function;
+};
+
+class Factory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit Factory(std::function<void(Request &, Response &)> function)
+        : m_function(std::move(function))
+    {
+    }
+    Poco::Net::HTTPRequestHandler *createRequestHandler(const Request &) override
+    {
+        return new Handler(m_function);
+    }
+
+private:
+    std::function<void(Request &, Response &)> m_function;
+};
+
+} // namespace
+
+int serve(const std::string &address, std::function<void(Request &, Response &)> handler)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    Poco::ThreadPool threads(4, MostThreads, IdleSeconds, StackSize);
+    Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams();
+    params->setMaxThreads(MostThreads);
+    params->setMaxQueued(MostThreads);
+    Poco::Net::HTTPServer server(new Factory(std::move(handler)), threads,
+        Poco::Net::ServerSocket(Poco::Net::SocketAddress(address), MostThreads), params);
+    server.start();
+    int signal = 0;
+    sigwait(&signals, &signal);
+    std::_Exit(0);
+}
+
+std::string readAll(std::istream &stream)
+{
+    std::string text;
+    Poco::StreamCopier::copyToString(stream, text);
+    return text;
+}
+
+Poco::JSON::Object::Ptr parse(const std::string &text)
+{
+    Poco::JSON::Parser parser;
+    return parser.parse(text).extract<Poco::JSON::Object::Ptr>();
+}
+
+void answer(Response &response, int status, const Poco::JSON::Object &object)
+{
+    std::ostringstream stream;
+    object.stringify(stream);
+    const auto text = stream.str();
+    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    response.setContentType("application/json");
+    response.sendBuffer(text.data(), text.size());
+}
+
+} // namespace StandIns
