Tests: Drive the decisions in virtual time under seeded faults

Cause: nothing showed that the books hold when things fail, together and twice.

Change: a virtual world of instances, table, network and back ends whose oracle knows what was really run; a fault schedule that kills, freezes, cuts, and hurts platform and messages by seed. The check for overspend runs after every step; at the end all is healed and handed back and the books must balance to the token, with one bill for each request that ran and none for any other.

Found and mended, each seen failing by its seed first: - enginesThatCannotBeAsked, "180860 settled, 180900 billed": a holder settled for less and returned the rest, its word to the witness was lost, it died, and the witness billed the whole reservation, more than the grant still had. GrantReclaimer now bills no more than is left in the grant. - scarceBudgetIsNeverOverspent, seed 6, "200 tokens are still granted out": the orphaned grants of one budget were closed all at once and each close but one lost the race for the budget's row, once a search. They are now worked on one after another, with a few tries each. Narrowed by trace: a bill may be missing where its grant has a loss row (holder and witness both died before a flush; seeds 1 and 3 showed just that). That is the design's stated assumption; its tokens stay counted as spent.

--- a/Libraries/Carawaykeel/Budget/GrantReclaimer.cpp
+++ b/Libraries/Carawaykeel/Budget/GrantReclaimer.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::string_view GrantPrefix = "grant/";
 constexpr std::size_t FixedRows = 2;
+constexpr int Tries = 8;
 
 } // namespace
 
@@ -47,6 +48,7 @@
         return;
     for (const auto &row : reply.rows)
         consider(row);
+    workOnNext();
 }
 
 void GrantReclaimer::consider(const Platform::Row &row)
@@ -54,22 +56,41 @@
     const Base::GrantId id(row.key);
     const auto grant = Platform::decodeRow<GrantRow>(row.value);
     const auto holder = m_lives.livenessOf(grant.holder);
-    if (grant.holder == m_context.self || holder == Liveness::Alive || m_busy.contains(id))
+    if (grant.holder == m_context.self || holder == Liveness::Alive || m_queued.contains(id))
+        return;
+    const bool isWitness = grant.witness == m_context.self;
+    const bool isWitnessDead = m_lives.livenessOf(grant.witness) == Liveness::CertainlyDead;
+    const bool isWriteOff = !isWitness && holder == Liveness::CertainlyDead && isWitnessDead;
+    if (!isWitness && !isWriteOff)
         return;
     auto operation = std::make_shared<Operation>();
     operation->id = id;
     operation->row = grant;
-    operation->version = row.version;
-    if (grant.witness == m_context.self) {
-        m_busy.insert(id);
-        m_witness.fence(id);
-        return askEngines(operation);
-    }
-    const bool isWitnessDead = m_lives.livenessOf(grant.witness) == Liveness::CertainlyDead;
-    if (holder == Liveness::CertainlyDead && isWitnessDead) {
-        m_busy.insert(id);
-        writeOff(operation);
-    }
+    operation->isWriteOff = isWriteOff;
+    operation->triesLeft = Tries;
+    m_queued.insert(id);
+    m_queue.push_back(std::move(operation));
+}
+
+void GrantReclaimer::workOnNext()
+{
+    if (m_isWorking || m_queue.empty())
+        return;
+    m_isWorking = true;
+    const auto operation = m_queue.front();
+    m_queue.pop_front();
+    begin(operation);
+}
+
+void GrantReclaimer::begin(const OperationPointer &operation)
+{
+    // It may have come back while the grant waited for its turn.
+    if (m_lives.livenessOf(operation->row.holder) == Liveness::Alive)
+        return finish(operation);
+    if (operation->isWriteOff)
+        return writeOff(operation);
+    m_witness.fence(operation->id);
+    askEngines(operation);
 }
 
 void GrantReclaimer::askEngines(const OperationPointer &operation)
@@ -139,32 +160,47 @@
     const std::vector<std::uint64_t> &asked, const Platform::RowsReply &reply)
 {
     auto &grant = m_witness.fence(operation.id);
+    auto left = operation.row.amount - operation.row.settled;
+    std::vector<std::uint64_t> unsettled;
     for (std::size_t n = 0; n < asked.size(); ++n) {
         const auto it = grant.open.find(asked[n]);
         if (it == grant.open.end())
             continue;
-        const auto &present = reply.rows.at(n + FixedRows);
-        if (present) {
-            // The holder's flush has landed, or another run of the request was billed; then the
-            // house bears this one.
-            operation.finished.push_back(asked[n]);
+        const bool isBilled = reply.rows.at(n + FixedRows).has_value();
+        if (!isBilled && !it->second.bill) {
+            unsettled.push_back(asked[n]);
             continue;
         }
-        const auto &reservation = it->second;
-        const auto report = reports.find(asked[n]);
-        if (reservation.bill) {
-            operation.bills.push_back(*reservation.bill);
-        } else if (report == reports.end()) {
-            continue;
-        } else if (report->second.knowledge != AttemptKnowledge::NeverSeen) {
-            const bool isKnown = report->second.knowledge == AttemptKnowledge::Finished;
-            const auto tokens =
-                isKnown ? std::min(report->second.tokens, reservation.tokens) : reservation.tokens;
-            operation.bills.push_back({reservation.team, reservation.request, reservation.budget,
-                operation.id, asked[n], tokens, true});
+        // A bill that is there is the holder's, or another run's; then the house bears this one.
+        if (!isBilled) {
+            operation.bills.push_back(*it->second.bill);
+            left -= it->second.bill->tokens;
         }
         operation.finished.push_back(asked[n]);
     }
+    for (const auto number : unsettled) {
+        const auto report = reports.find(number);
+        if (report == reports.end())
+            continue;
+        estimate(operation, number, report->second, left);
+        operation.finished.push_back(number);
+    }
+}
+
+void GrantReclaimer::estimate(
+    Operation &operation, std::uint64_t number, const AttemptReport &report, Base::Tokens &left)
+{
+    if (report.knowledge == AttemptKnowledge::NeverSeen)
+        return;
+    const auto &reservation = m_witness.fence(operation.id).open.at(number);
+    const bool isKnown = report.knowledge == AttemptKnowledge::Finished;
+    const auto most = isKnown ? std::min(report.tokens, reservation.tokens) : reservation.tokens;
+    // The holder may have settled it for less and returned the rest, and its word been lost on the
+    // way here; so no more is billed than the grant still has.
+    const auto tokens = std::min(most, left);
+    left -= tokens;
+    operation.bills.push_back({reservation.team, reservation.request, reservation.budget,
+        operation.id, number, tokens, true});
 }
 
 void GrantReclaimer::commit(const OperationPointer &operation, const Platform::Row &budget)
@@ -204,12 +240,11 @@
     }
     transaction.put(BudgetRow::rowKey(row.budget), Platform::encodeRow(books), budget.version);
     m_context.table.commit(std::move(transaction), [this, operation](Platform::CommitReply reply) {
-        // After a conflict or a lost answer the next search reads again and decides anew.
-        if (reply.outcome == Platform::CommitOutcome::Committed) {
-            ++m_reclaimed;
-            for (const auto number : operation->finished)
-                m_witness.finish(operation->id, number);
-        }
+        if (reply.outcome != Platform::CommitOutcome::Committed)
+            return tryAgain(operation);
+        ++m_reclaimed;
+        for (const auto number : operation->finished)
+            m_witness.finish(operation->id, number);
         finish(operation);
     });
 }
@@ -233,16 +268,31 @@
             BudgetRow::rowKey(row.budget), Platform::encodeRow(books), reply.rows.at(1)->version);
         m_context.table.commit(
             std::move(transaction), [this, operation](Platform::CommitReply commit) {
-                if (commit.outcome == Platform::CommitOutcome::Committed)
-                    ++m_writtenOff;
+                if (commit.outcome != Platform::CommitOutcome::Committed)
+                    return tryAgain(operation);
+                ++m_writtenOff;
                 finish(operation);
             });
     });
 }
 
+void GrantReclaimer::tryAgain(const OperationPointer &operation)
+{
+    // After a conflict or a lost answer everything is read and decided anew.
+    if (--operation->triesLeft <= 0)
+        return finish(operation);
+    operation->bills.clear();
+    operation->finished.clear();
+    Base::BackOff backOff(m_policy.smallestBackOff * 2, m_policy.largestBackOff);
+    m_context.scheduler.schedule(
+        backOff.next(m_context.random), [this, operation] { begin(operation); });
+}
+
 void GrantReclaimer::finish(const OperationPointer &operation)
 {
-    m_busy.erase(operation->id);
+    m_queued.erase(operation->id);
+    m_isWorking = false;
+    workOnNext();
 }
 
 } // namespace Carawaykeel::Budget
--- a/Libraries/Carawaykeel/Budget/GrantReclaimer.h
+++ b/Libraries/Carawaykeel/Budget/GrantReclaimer.h
@@ -8,6 +8,7 @@
 #include <Carawaykeel/Budget/GrantWitness.h>
 #include <Carawaykeel/Budget/LifeOracle.h>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -46,21 +47,28 @@
         /// Reservations that are over once the write has landed.
         std::vector<std::uint64_t> finished;
         bool isClosing = false;
+        bool isWriteOff = false;
+        int triesLeft = 0;
     };
     using OperationPointer = std::shared_ptr<Operation>;
 
     void search();
     void onGrants(const Platform::RangeReply &reply);
     void consider(const Platform::Row &row);
+    void workOnNext();
+    void begin(const OperationPointer &operation);
     void askEngines(const OperationPointer &operation);
     void read(const OperationPointer &operation, const std::shared_ptr<Reports> &reports);
     void decide(const OperationPointer &operation, const Reports &reports,
         const std::vector<std::uint64_t> &asked, const Platform::RowsReply &reply);
     void collectBills(Operation &operation, const Reports &reports,
         const std::vector<std::uint64_t> &asked, const Platform::RowsReply &reply);
+    void estimate(Operation &operation, std::uint64_t number, const AttemptReport &report,
+        Base::Tokens &left);
     void commit(const OperationPointer &operation, const Platform::Row &budget);
     void writeOff(const OperationPointer &operation);
     void finish(const OperationPointer &operation);
+    void tryAgain(const OperationPointer &operation);
     bool mayBillOpen(const Operation &operation, const WitnessedReservation &reservation) const;
 
     Base::InstanceContext &m_context;
@@ -68,7 +76,11 @@
     GrantWitness &m_witness;
     const LifeOracle &m_lives;
     AttemptOracle &m_attempts;
-    std::set<Base::GrantId> m_busy;
+    /// Grants that wait for their turn; one is worked on at a time, since the grants of one budget
+    /// share its row.
+    std::deque<OperationPointer> m_queue;
+    std::set<Base::GrantId> m_queued;
+    bool m_isWorking = false;
     std::uint64_t m_reclaimed = 0;
     std::uint64_t m_writtenOff = 0;
 };
--- /dev/null
+++ b/Tests/Budget/NoOverspendTest.cpp
@@ -0,0 +1,58 @@
+#include <Support/VirtualFleet.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Carawaykeel::Tests {
+
+/// A team's spend never exceeds its prepaid budget, whatever fails.
+class NoOverspendTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(NoOverspendTest);
+    CPPUNIT_TEST(quietMorningBalances);
+    CPPUNIT_TEST(emptiedBudgetIsSpentToTheLastRequest);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void quietMorningBalances()
+    {
+        VirtualFleet fleet(1, 6);
+        fleet.start(Base::Tokens(100'000));
+        std::vector<std::shared_ptr<CallerAnswer>> answers;
+        for (int n = 0; n < 200; ++n) {
+            answers.push_back(fleet.request(n % 6, {}));
+            fleet.run(20);
+        }
+        fleet.run(2'000);
+        for (const auto &answer : answers)
+            CPPUNIT_ASSERT(answer->isWhole);
+        fleet.settleAndHandBack();
+        fleet.checkBooksBalance();
+        fleet.checkBillsMatchRuns();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(200 * 60), fleet.billed().count());
+    }
+
+    void emptiedBudgetIsSpentToTheLastRequest()
+    {
+        VirtualFleet fleet(2, 6);
+        fleet.start(Base::Tokens(10'000));
+        int whole = 0;
+        int refused = 0;
+        std::vector<std::shared_ptr<CallerAnswer>> answers;
+        for (int n = 0; n < 200; ++n) {
+            answers.push_back(
+                fleet.request(n % 6, {.worstCase = Base::Tokens(100), .used = Base::Tokens(100)}));
+            fleet.run(300);
+        }
+        fleet.run(5'000);
+        for (const auto &answer : answers) {
+            whole += answer->isWhole ? 1 : 0;
+            refused += answer->isOver && answer->kind == Base::ErrorKind::BudgetExhausted ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(100, whole);
+        CPPUNIT_ASSERT_EQUAL(100, refused);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NoOverspendTest);
+
+} // namespace Carawaykeel::Tests
--- /dev/null
+++ b/Tests/Support/FakeTable.cpp
@@ -0,0 +1,121 @@
+#include <Support/FakeTable.h>
+
+namespace Carawaykeel::Tests {
+
+namespace {
+
+constexpr Base::Milliseconds GivenUp{1'000};
+
+} // namespace
+
+Platform::CommitReply FakeTable::apply(const Platform::Transaction &transaction)
+{
+    for (const auto &write : transaction.writes) {
+        const auto it = m_rows.find(write.key);
+        if ((it == m_rows.end() ? Platform::AbsentVersion : it->second.version)
+            != write.expectedVersion)
+            return {Platform::CommitOutcome::Conflict, 0};
+    }
+    ++m_version;
+    for (const auto &write : transaction.writes) {
+        if (write.value)
+            m_rows[write.key] = {write.key, *write.value, m_version};
+        else
+            m_rows.erase(write.key);
+    }
+    return {Platform::CommitOutcome::Committed, m_version};
+}
+
+std::optional<Platform::Row> FakeTable::find(const std::string &key) const
+{
+    const auto it = m_rows.find(key);
+    return it == m_rows.end() ? std::nullopt : std::optional(it->second);
+}
+
+std::vector<Platform::Row> FakeTable::range(const std::string &prefix) const
+{
+    std::vector<Platform::Row> rows;
+    for (auto it = m_rows.lower_bound(prefix); it != m_rows.end() && it->first.starts_with(prefix);
+         ++it)
+        rows.push_back(it->second);
+    return rows;
+}
+
+FakeTableClient::FakeTableClient(VirtualWorld &world, FakeTable &table, std::string client,
+    std::function<void(std::function<void()>)> deliver)
+    : m_world(world)
+    , m_table(table)
+    , m_client(std::move(client))
+    , m_deliver(std::move(deliver))
+{
+}
+
+Base::Milliseconds FakeTableClient::drawDelay()
+{
+    return Base::Milliseconds(m_world.draw(1, 4)) + m_table.slowness;
+}
+
+template <typename Reply>
+void FakeTableClient::call(
+    std::function<Reply()> effect, std::function<void(Reply)> answer, bool isWrite)
+{
+    // The client may be gone, with its instance, before the answer comes; so nothing refers to it.
+    const auto tell = [deliver = m_deliver, answer](Reply reply) {
+        deliver([answer, reply = std::move(reply)] { answer(reply); });
+    };
+    if (!m_table.reaches(m_client))
+        return m_world.schedule(Base::Milliseconds(50), [tell] { tell(Reply()); });
+    const bool isLate = isWrite && m_world.happens(m_table.lateEffect);
+    const bool isLost = isWrite && m_world.happens(m_table.answerLoss);
+    if (isLate) {
+        m_world.schedule(
+            GivenUp + Base::Milliseconds(m_world.draw(0, 5'000)), [effect] { effect(); });
+        return m_world.schedule(GivenUp, [tell] { tell(Reply()); });
+    }
+    const auto wait = isLost ? GivenUp : drawDelay();
+    m_world.schedule(drawDelay(),
+        [&world = m_world, &table = m_table, client = m_client, effect, tell, isLost, wait] {
+            auto reply = effect();
+            if (isLost || !table.reaches(client))
+                reply = Reply();
+            world.schedule(wait, [tell, reply = std::move(reply)] { tell(reply); });
+        });
+}
+
+void FakeTableClient::readRows(
+    std::vector<std::string> keys, std::function<void(Platform::RowsReply)> answer)
+{
+    call<Platform::RowsReply>(
+        [&table = m_table, keys = std::move(keys)] {
+            ++table.reads;
+            Platform::RowsReply reply{true, {}};
+            for (const auto &key : keys)
+                reply.rows.push_back(table.find(key));
+            return reply;
+        },
+        std::move(answer), false);
+}
+
+void FakeTableClient::readRange(
+    std::string prefix, std::function<void(Platform::RangeReply)> answer)
+{
+    call<Platform::RangeReply>(
+        [&table = m_table, prefix = std::move(prefix)] {
+            ++table.reads;
+            return Platform::RangeReply{true, table.range(prefix)};
+        },
+        std::move(answer), false);
+}
+
+void FakeTableClient::commit(
+    Platform::Transaction transaction, std::function<void(Platform::CommitReply)> answer)
+{
+    call<Platform::CommitReply>(
+        [&table = m_table, transaction = std::move(transaction)] {
+            ++table.writes;
+            return table.apply(transaction);
+        },
+        std::move(answer), true);
+}
+
+} // namespace Carawaykeel::Tests
--- /dev/null
+++ b/Tests/Support/VirtualWorld.cpp
@@ -0,0 +1,39 @@
+#include <Support/VirtualWorld.h>
+
+namespace Carawaykeel::Tests {
+
+VirtualWorld::VirtualWorld(std::uint64_t seed)
+    : m_random(seed)
+{
+}
+
+void VirtualWorld::schedule(Base::Milliseconds delay, std::function<void()> task)
+{
+    m_tasks.push({m_now + delay, ++m_order, std::move(task)});
+}
+
+void VirtualWorld::run(Base::Milliseconds span, const std::function<void()> &check)
+{
+    const auto end = m_now + span;
+    while (!m_tasks.empty() && m_tasks.top().when <= end) {
+        auto task = m_tasks.top();
+        m_tasks.pop();
+        m_now = task.when;
+        task.run();
+        if (check)
+            check();
+    }
+    m_now = end;
+}
+
+std::int64_t VirtualWorld::draw(std::int64_t smallest, std::int64_t largest)
+{
+    return std::uniform_int_distribution<std::int64_t>(smallest, largest)(m_random);
+}
+
+bool VirtualWorld::happens(double probability)
+{
+    return std::bernoulli_distribution(probability)(m_random);
+}
+
+} // namespace Carawaykeel::Tests
--- /dev/null
+++ b/Tests/Support/VirtualWorld.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <Carawaykeel/Base/BackOff.h>
+#include <Carawaykeel/Base/Milliseconds.h>
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <vector>
+
+namespace Carawaykeel::Tests {
+
+/// Virtual time: tasks in the order of their moments, and one seeded source of randomness.
+class VirtualWorld
+{
+public:
+    explicit VirtualWorld(std::uint64_t seed);
+
+    Base::Milliseconds now() const { return m_now; }
+    Base::RandomEngine &random() { return m_random; }
+    void schedule(Base::Milliseconds delay, std::function<void()> task);
+
+    /// Runs all tasks up to this far ahead; the check runs after each.
+    void run(Base::Milliseconds span, const std::function<void()> &check = {});
+
+    /// A number from smallest to largest.
+    std::int64_t draw(std::int64_t smallest, std::int64_t largest);
+    bool happens(double probability);
+
+private:
+    struct Task
+    {
+        Base::Milliseconds when;
+        std::uint64_t order;
+        std::function<void()> run;
+        bool operator>(const Task &other) const
+        {
+            return when != other.when ? when > other.when : order > other.order;
+        }
+    };
+
+    Base::Milliseconds m_now;
+    std::uint64_t m_order = 0;
+    std::priority_queue<Task, std::vector<Task>, std::greater<>> m_tasks;
+    Base::RandomEngine m_random;
+};
+
+} // namespace Carawaykeel::Tests
