--- /dev/null
+++ b/Tests/Fleet/RetryTest.cpp
@@ -0,0 +1,79 @@
+#include <Support/FaultSchedule.h>
+#include <Support/SeedRange.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/core.h>
+
+namespace Carawaykeel::Tests {
+
+namespace {
+
+constexpr int Seeds = 20;
+constexpr std::int64_t Span = 60'000;
+
+void proveOneBill(int seed, Mutation mutation)
+{
+    VirtualFleet fleet(static_cast<std::uint64_t>(seed), 6);
+    fleet.mutation = mutation;
+    fleet.start(Base::Tokens(10'000'000));
+    FaultSchedule faults(fleet, {});
+    int requests = 0;
+    faults.run(Span, [&](int n) {
+        RequestShape shape;
+        shape.key = fmt::format("report-{}", ++requests);
+        shape.duration = Base::Milliseconds(fleet.world.draw(1, 5'000));
+        fleet.request(n, shape);
+        const auto other = static_cast<int>(fleet.world.draw(0, fleet.count() - 1));
+        fleet.world.schedule(Base::Milliseconds(fleet.world.draw(0, 10'000)), [&fleet, other, shape] { fleet.request(other, shape); });
+    });
+    fleet.settleAndHandBack();
+    fleet.checkBooksBalance();
+    fleet.checkBillsMatchRuns();
+    fleet.checkRefusalsAreTrue();
+}
+
+} // namespace
+
+/// Each request is billed exactly once, also when callers retry it elsewhere.
+class RetryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RetryTest);
+    CPPUNIT_TEST(retriesElsewhereGiveOneBill);
+    CPPUNIT_TEST(noticesBillsOfTheirOwn);
+    CPPUNIT_TEST(retryWhileTheFirstRunsJoinsIt);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void retriesElsewhereGiveOneBill()
+    {
+        forEachSeed(Seeds, [](int seed) { proveOneBill(seed, Mutation::None); });
+    }
+
+    void noticesBillsOfTheirOwn()
+    {
+        expectSomeSeedFails(Seeds, [](int seed) { proveOneBill(seed, Mutation::BillsOfTheirOwn); });
+    }
+
+    void retryWhileTheFirstRunsJoinsIt()
+    {
+        VirtualFleet fleet(3, 6);
+        fleet.start(Base::Tokens(100'000));
+        RequestShape shape;
+        shape.key = "report";
+        shape.duration = Base::Milliseconds(1'000);
+        const auto entry = fleet.at(0).decisions().entryFor(Base::TeamId("team"));
+        std::vector<std::shared_ptr<CallerAnswer>> answers;
+        for (const auto &member : entry.members) {
+            const auto n = member.id.name.text().back() - '0';
+            answers.push_back(fleet.request(n, shape));
+        }
+        fleet.run(5'000);
+        for (const auto &answer : answers)
+            CPPUNIT_ASSERT(answer->isWhole);
+        CPPUNIT_ASSERT_EQUAL(1, fleet.engines.runsOf(answers.front()->request));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RetryTest);
+
+} // namespace Carawaykeel::Tests
--- a/Tests/Support/Mutation.h
+++ b/Tests/Support/Mutation.h
@@ -17,8 +17,6 @@
     BillsOfTheirOwn,
     /// The configuration's row is written whatever version it has.
     UnconditionalConfiguration,
-    /// An instance takes any delivered configuration for a newer one.
-    BackwardConfiguration,
 };
 
 } // namespace Carawaykeel::Tests
