Budget: Hold an hour's use, and keep lost tries from landing late

Cause: grants were sized for a minute, so an hour's outage of the platform refused callers whose budgets were ample; and a grant that lost its witness for a moment was given up for good.

Change: grants are sized for the use of 75 minutes at the present rate, far and near apart, taken ahead of need; a grant whose witness is silent is suspended and resumed, and its tokens go back after 5 s if the platform is there. GrantAcquirer settles tries whose answers were lost also when nobody draws on the budget: what landed is taken, what has not is kept from landing by writing the budget's row anew.

--- a/Libraries/Carawaykeel/Budget/BudgetHolder.cpp
+++ b/Libraries/Carawaykeel/Budget/BudgetHolder.cpp
@@ -24,11 +24,12 @@
 
 } // namespace
 
-BudgetHolder::BudgetHolder(
-    Base::InstanceContext &context, const BudgetPolicy &policy, WitnessChooser &witnesses)
+BudgetHolder::BudgetHolder(Base::InstanceContext &context, const BudgetPolicy &policy,
+    WitnessChooser &witnesses, const LifeOracle &lives)
     : m_context(context)
     , m_policy(policy)
     , m_witnesses(witnesses)
+    , m_lives(lives)
     , m_topUps(context, m_policy)
     , m_acquirer(context, m_policy, m_book)
     , m_returner(context, m_policy, m_book)
@@ -46,7 +47,6 @@
 {
     if (m_isHandingBack)
         return answer(refusal(Base::ErrorKind::BudgetUnreachable));
-    noteUse(m_accounts[request.budget], request.wanted);
     serveAgain(request, std::move(answer), m_context.scheduler.now() + m_policy.grantDeadline);
 }
 
@@ -81,7 +81,7 @@
 HeldGrant *BudgetHolder::findGrant(const Base::BudgetId &budget, Base::Tokens tokens)
 {
     for (auto *grant : m_book.ofBudget(budget)) {
-        if (grant->state == GrantState::Open && grant->unreserved() >= tokens)
+        if (grant->isUsable() && grant->unreserved() >= tokens)
             return grant;
     }
     return nullptr;
@@ -127,12 +127,18 @@
     auto *grant = m_book.find(id);
     if (!grant)
         return;
-    if (grant->state == GrantState::Open)
+    if (!grant->isSuspended)
         ++m_counters.witnessLost;
-    grant->state = GrantState::Retiring;
+    grant->isSuspended = true;
+    grant->suspendedSince = m_context.scheduler.now();
+    moveAskedElsewhere(*grant);
+}
+
+void BudgetHolder::moveAskedElsewhere(HeldGrant &grant)
+{
     std::vector<HeldReservation> asked;
     std::vector<std::uint64_t> numbers;
-    for (auto &[number, held] : grant->reservations) {
+    for (auto &[number, held] : grant.reservations) {
         if (held.phase != ReservationPhase::Asked)
             continue;
         numbers.push_back(number);
@@ -140,7 +146,7 @@
             held.deadline, std::nullopt, false, {}});
     }
     for (const auto number : numbers)
-        dropReservation(*grant, number);
+        dropReservation(grant, number);
     for (auto &held : asked)
         serveAgain(held.request, std::move(held.answer), held.deadline);
 }
@@ -163,8 +169,10 @@
     const auto it = grant->reservations.find(message.reservation);
     if (it == grant->reservations.end() || it->second.phase != ReservationPhase::Asked)
         return;
-    if (!message.isAccepted)
-        return loseWitness(message.grant);
+    if (!message.isAccepted) {
+        grant->state = GrantState::Retiring;
+        return moveAskedElsewhere(*grant);
+    }
     it->second.phase = ReservationPhase::Recorded;
     ++m_counters.reserved;
     auto answer = std::move(it->second.answer);
@@ -187,6 +195,7 @@
     held.bill = Billing::Bill{held.request.team, held.request.request, held.request.budget,
         reservation.grant, reservation.number, used, false};
     held.whenSafe.push_back(std::move(whenSafe));
+    noteUse(m_accounts[held.request.budget], used);
     grant->reserved -= held.tokens;
     grant->unflushed += used;
     resendSettlement(reservation.grant, reservation.number, SettlementTries);
@@ -256,15 +265,19 @@
 {
     auto &account = m_accounts[budget];
     const auto &first = account.waiting.front().request;
-    auto witnesses = m_witnesses.chooseWitnesses();
-    if (witnesses.empty() || m_context.scheduler.now() >= account.waiting.front().deadline) {
+    auto grants = missingGrants(budget, account);
+    if (grants.empty() || m_context.scheduler.now() >= account.waiting.front().deadline) {
         refuseFirst(account, Base::ErrorKind::BudgetUnreachable);
         return pump(budget);
     }
-    account.step = Step::Acquiring;
     const auto needed = account.rounds > 0 ? first.least : first.wanted;
-    AcquireRequest request{budget, needed, wantedSize(account), std::move(witnesses)};
-    m_topUps.ensureDeclared(budget, [this, request](bool isReached) {
+    startAcquiring(budget, {budget, needed, std::move(grants)});
+}
+
+void BudgetHolder::startAcquiring(const Base::BudgetId &budget, AcquireRequest request)
+{
+    m_accounts[budget].step = Step::Acquiring;
+    m_topUps.ensureDeclared(budget, [this, request = std::move(request)](bool isReached) {
         if (!isReached)
             return onAcquired(request.budget, AcquireOutcome::Unreachable, Base::Tokens());
         m_acquirer.acquire(
@@ -274,6 +287,29 @@
     });
 }
 
+std::vector<WantedGrant> BudgetHolder::missingGrants(const Base::BudgetId &budget, Account &account)
+{
+    const auto wanted = wantedSize(budget, account);
+    Base::Tokens far;
+    Base::Tokens near;
+    for (const auto *grant : m_book.ofBudget(budget)) {
+        if (grant->isUsable())
+            (grant->isNear ? near : far) += grant->unreserved();
+    }
+    const auto witnesses = m_witnesses.chooseWitnesses();
+    std::vector<WantedGrant> missing;
+    for (std::size_t n = 0; n < witnesses.size(); ++n) {
+        const bool isNear = n > 0;
+        const auto held = isNear ? near : far;
+        // A request that waits needs a grant even where the horizon is covered.
+        const bool isNeeded = !isNear && !account.waiting.empty();
+        if (isNeeded || held < wanted / 2)
+            missing.push_back(
+                {witnesses[n], std::max(wanted - held, m_policy.smallestGrant), isNear});
+    }
+    return missing;
+}
+
 void BudgetHolder::onAcquired(
     const Base::BudgetId &budget, AcquireOutcome outcome, Base::Tokens available)
 {
@@ -396,37 +432,66 @@
 {
     m_flusher.flush([this](bool) { ++m_counters.flushes; });
     tidyGrants();
+    m_acquirer.resolve();
+    if (!m_isHandingBack)
+        acquireAhead();
     m_context.scheduler.schedule(m_policy.flushInterval, [this] { upkeep(); });
 }
 
 void BudgetHolder::tidyGrants()
+{
+    for (auto *grant : m_book.all())
+        tidyGrant(*grant);
+}
+
+void BudgetHolder::tidyGrant(HeldGrant &grant)
 {
     const auto now = m_context.scheduler.now();
-    std::vector<Base::GrantId> done;
-    for (auto *grant : m_book.all()) {
-        const bool isIdle =
-            now - grant->lastUsed > m_policy.idleReturn && grant->reservations.empty();
-        if (isIdle)
-            grant->state = GrantState::Retiring;
-        if (grant->state == GrantState::Retiring)
-            done.push_back(grant->id);
+    const bool isIdle = now - grant.lastUsed > m_policy.idleReturn && grant.reservations.empty();
+    const auto witness = m_lives.livenessOf(grant.row.witness);
+    if (isIdle || witness == Liveness::CertainlyDead)
+        grant.state = GrantState::Retiring;
+    const auto silence = now - grant.suspendedSince;
+    if (grant.isSuspended && silence >= m_policy.witnessPause && witness == Liveness::Alive)
+        grant.isSuspended = false;
+    const bool isGivenUp = grant.isSuspended && silence >= m_policy.suspension;
+    if (grant.state != GrantState::Retiring && !isGivenUp)
+        return;
+    m_returner.returnTokens(grant.id, Base::Tokens(), [this, id = grant.id](bool isDone) {
+        auto *returned = m_book.find(id);
+        if (isDone && returned)
+            returned->state = GrantState::Retiring;
+    });
+}
+
+void BudgetHolder::acquireAhead()
+{
+    for (auto &[budget, account] : m_accounts) {
+        rollWindow(account);
+        const bool isInUse = account.windowTokens + account.lastWindowTokens > Base::Tokens();
+        const bool isFree = account.step == Step::Idle && account.waiting.empty();
+        if (!isInUse || !isFree || m_book.ofBudget(budget).size() >= m_policy.grantsAhead)
+            continue;
+        auto grants = missingGrants(budget, account);
+        if (!grants.empty())
+            startAcquiring(budget, {budget, Base::Tokens(), std::move(grants)});
     }
-    for (const auto &id : done)
-        m_returner.returnTokens(id, Base::Tokens(), [](bool) {});
 }
 
 void BudgetHolder::handBack(std::function<void(bool)> answer)
 {
     m_isHandingBack = true;
-    for (auto *grant : m_book.all())
-        grant->state = GrantState::Retiring;
     tryHandBack(std::move(answer));
 }
 
 void BudgetHolder::tryHandBack(std::function<void(bool)> answer)
 {
-    if (m_book.all().empty())
+    m_acquirer.resolve();
+    if (m_book.all().empty() && !m_acquirer.hasUnresolved())
         return answer(true);
+    // A try that lands now is taken only to be handed back.
+    for (auto *grant : m_book.all())
+        grant->state = GrantState::Retiring;
     m_flusher.flush([this, answer](bool) {
         tidyGrants();
         m_context.scheduler.schedule(
@@ -436,21 +501,31 @@
 
 void BudgetHolder::noteUse(Account &account, Base::Tokens tokens)
 {
-    const auto now = m_context.scheduler.now();
-    if (now - account.windowStart >= RateWindow) {
-        const bool isRecent = now - account.windowStart < RateWindow * 2;
-        account.lastWindowTokens = isRecent ? account.windowTokens : Base::Tokens();
-        account.windowTokens = Base::Tokens();
-        account.windowStart = now;
-    }
+    rollWindow(account);
     account.windowTokens += tokens;
 }
 
-Base::Tokens BudgetHolder::wantedSize(const Account &account) const
+void BudgetHolder::rollWindow(Account &account) const
+{
+    const auto now = m_context.scheduler.now();
+    if (now - account.windowStart < RateWindow)
+        return;
+    const bool isRecent = now - account.windowStart < RateWindow * 2;
+    account.lastWindowTokens = isRecent ? account.windowTokens : Base::Tokens();
+    account.windowTokens = Base::Tokens();
+    account.windowStart = now;
+}
+
+Base::Tokens BudgetHolder::wantedSize(const Base::BudgetId &budget, Account &account)
 {
+    rollWindow(account);
     const auto inWindow = std::max(account.windowTokens, account.lastWindowTokens);
     const auto forHorizon = inWindow * m_policy.horizon.count() / RateWindow.count();
-    return std::max(forHorizon, m_policy.smallestGrant);
+    // What is reserved at once comes on top: unused parts of reservations come back, but late.
+    Base::Tokens reserved;
+    for (const auto *grant : m_book.ofBudget(budget))
+        reserved += grant->reserved;
+    return std::max(forHorizon + reserved, m_policy.smallestGrant);
 }
 
 } // namespace Carawaykeel::Budget
--- a/Libraries/Carawaykeel/Budget/BudgetHolder.h
+++ b/Libraries/Carawaykeel/Budget/BudgetHolder.h
@@ -7,6 +7,7 @@
 #include <Carawaykeel/Budget/GrantAcquirer.h>
 #include <Carawaykeel/Budget/GrantBook.h>
 #include <Carawaykeel/Budget/GrantReturner.h>
+#include <Carawaykeel/Budget/LifeOracle.h>
 #include <Carawaykeel/Budget/TopUpWriter.h>
 #include <Carawaykeel/Budget/WitnessChooser.h>
 
@@ -22,8 +23,8 @@
 class BudgetHolder
 {
 public:
-    BudgetHolder(
-        Base::InstanceContext &context, const BudgetPolicy &policy, WitnessChooser &witnesses);
+    BudgetHolder(Base::InstanceContext &context, const BudgetPolicy &policy,
+        WitnessChooser &witnesses, const LifeOracle &lives);
 
     /// Begins the periodic upkeep. Call once.
     void start();
@@ -81,6 +82,7 @@
     void begin(HeldGrant &grant, Base::Tokens tokens, Waiting &waiting);
     void askWitness(const Base::GrantId &id, std::uint64_t number);
     void loseWitness(const Base::GrantId &id);
+    void moveAskedElsewhere(HeldGrant &grant);
     void dropReservation(HeldGrant &grant, std::uint64_t number);
     void serveAgain(const ReservationRequest &request,
         std::function<void(Base::Outcome<Reservation>)> answer, Base::Milliseconds deadline);
@@ -95,13 +97,19 @@
     void returnWhenFree(const Base::GrantId &id, int triesLeft, std::function<void(bool)> answer);
     void upkeep();
     void tidyGrants();
+    void tidyGrant(HeldGrant &grant);
+    void acquireAhead();
+    void startAcquiring(const Base::BudgetId &budget, AcquireRequest request);
+    std::vector<WantedGrant> missingGrants(const Base::BudgetId &budget, Account &account);
     void tryHandBack(std::function<void(bool)> answer);
     void noteUse(Account &account, Base::Tokens tokens);
-    Base::Tokens wantedSize(const Account &account) const;
+    Base::Tokens wantedSize(const Base::BudgetId &budget, Account &account);
+    void rollWindow(Account &account) const;
 
     Base::InstanceContext &m_context;
     const BudgetPolicy m_policy;
     WitnessChooser &m_witnesses;
+    const LifeOracle &m_lives;
     GrantBook m_book;
     TopUpWriter m_topUps;
     GrantAcquirer m_acquirer;
--- a/Libraries/Carawaykeel/Budget/BudgetPolicy.h
+++ b/Libraries/Carawaykeel/Budget/BudgetPolicy.h
@@ -12,10 +12,10 @@
     Base::Milliseconds witnessTimeout{60};
     /// How often the witness is asked before the grant's witness counts as lost.
     int witnessTries = 3;
-    /// A grant is sized for this much use at the present rate.
-    Base::Milliseconds horizon{60'000};
+    /// A grant is sized for this much use at the present rate: an outage of an hour and some more.
+    Base::Milliseconds horizon{4'500'000};
     /// A grant takes at most one part in this many of what the budget row has available.
-    std::int64_t shareDivisor = 16;
+    std::int64_t shareDivisor = 8;
     /// The least that is worth a transaction while the budget is far from empty.
     Base::Tokens smallestGrant{2'000};
     /// Time between flushes of bills to the platform.
@@ -31,6 +31,12 @@
     /// First pause before a platform operation is tried again; it doubles up to the largest.
     Base::Milliseconds smallestBackOff{20};
     Base::Milliseconds largestBackOff{2'000};
+    /// Grants of one budget that are taken ahead of need at most.
+    std::size_t grantsAhead = 8;
+    /// How long a grant whose witness does not answer is kept before its tokens are returned.
+    Base::Milliseconds suspension{5'000};
+    /// Pause before a silent witness is asked again.
+    Base::Milliseconds witnessPause{1'000};
     /// How long unused excess over the horizon is kept before it is returned.
     Base::Milliseconds idleReturn{30'000};
     /// How long an open reservation of a holder that is not certainly dead is kept before the
--- a/Libraries/Carawaykeel/Budget/GrantAcquirer.cpp
+++ b/Libraries/Carawaykeel/Budget/GrantAcquirer.cpp
@@ -26,6 +26,7 @@
         attempt->planned = std::move(it->second);
         m_unresolved.erase(it);
     }
+    ++m_open;
     read(attempt);
 }
 
@@ -46,6 +47,7 @@
         return finish(attempt, AcquireOutcome::NoSuchBudget);
     if (adoptPlanned(*attempt, reply))
         return finish(attempt, AcquireOutcome::Acquired);
+    dropDead(*attempt, reply.rows.front()->version);
     auto row = Platform::decodeRow<BudgetRow>(reply.rows.front()->value);
     attempt->available = row.available();
     const auto needed = attempt->request.needed;
@@ -79,10 +81,10 @@
     const auto &request = attempt.request;
     auto left = attempt.available;
     std::vector<PlannedGrant> planned;
-    for (const auto &witness : request.witnesses) {
+    for (const auto &wanted : request.grants) {
         const bool isFirst = planned.empty();
         const auto share = attempt.available / m_policy.shareDivisor;
-        const auto size = std::min(request.wanted, share);
+        const auto size = std::min(wanted.tokens, share);
         const auto amount = std::min(left, isFirst ? std::max(request.needed, size) : size);
         if (amount <= Base::Tokens())
             break;
@@ -90,7 +92,9 @@
         const auto id = n < attempt.planned.size() ? attempt.planned[n].id
                                                    : GrantRow::makeId(m_context.self, ++m_sequence);
         planned.push_back({id,
-            GrantRow{request.budget, m_context.self, witness, amount, Base::Tokens(), false, ""}});
+            GrantRow{
+                request.budget, m_context.self, wanted.witness, amount, Base::Tokens(), false, ""},
+            wanted.isNear});
         left -= amount;
     }
     // Ids of an unresolved try that this plan does not use again stay watched.
@@ -102,7 +106,8 @@
 void GrantAcquirer::commit(const AttemptPointer &attempt, BudgetRow row, std::uint64_t version)
 {
     Platform::Transaction transaction;
-    for (const auto &planned : attempt->planned) {
+    for (auto &planned : attempt->planned) {
+        planned.budgetVersion = version;
         row.granted += planned.row.amount;
         row.grants.push_back(planned.id);
         transaction.put(
@@ -126,6 +131,7 @@
     HeldGrant grant;
     grant.id = planned.id;
     grant.lastUsed = m_context.scheduler.now();
+    grant.isNear = planned.isNear;
     GrantBook::adoptRow(grant, planned.row, version);
     attempt.available -= planned.row.amount;
     m_book.add(std::move(grant));
@@ -141,11 +147,61 @@
 
 void GrantAcquirer::finish(const AttemptPointer &attempt, AcquireOutcome outcome)
 {
-    auto &unresolved = m_unresolved[attempt->request.budget];
-    unresolved.insert(unresolved.end(), attempt->planned.begin(), attempt->planned.end());
-    if (unresolved.empty())
-        m_unresolved.erase(attempt->request.budget);
+    --m_open;
+    std::erase_if(attempt->planned, [](const PlannedGrant &planned) {
+        return planned.budgetVersion == Platform::AbsentVersion;
+    });
+    if (!attempt->planned.empty()) {
+        auto &unresolved = m_unresolved[attempt->request.budget];
+        unresolved.insert(unresolved.end(), attempt->planned.begin(), attempt->planned.end());
+    }
     attempt->answer(outcome, attempt->available);
 }
 
+void GrantAcquirer::dropDead(Attempt &attempt, std::uint64_t budgetVersion)
+{
+    std::erase_if(attempt.planned, [&](const PlannedGrant &planned) {
+        return planned.budgetVersion != Platform::AbsentVersion
+            && planned.budgetVersion != budgetVersion;
+    });
+}
+
+void GrantAcquirer::resolve()
+{
+    if (m_unresolved.empty() || m_open > 0)
+        return;
+    const auto it = m_unresolved.begin();
+    auto attempt =
+        std::make_shared<Attempt>(Attempt{{it->first, {}, {}}, [](AcquireOutcome, Base::Tokens) {},
+            {}, Base::BackOff(m_policy.smallestBackOff, m_policy.largestBackOff),
+            std::move(it->second), {}});
+    m_unresolved.erase(it);
+    ++m_open;
+    std::vector<std::string> keys{BudgetRow::rowKey(attempt->request.budget)};
+    for (const auto &planned : attempt->planned)
+        keys.push_back(planned.id.text());
+    m_context.table.readRows(std::move(keys),
+        [this, attempt](const Platform::RowsReply &reply) { settleUnresolved(attempt, reply); });
+}
+
+void GrantAcquirer::settleUnresolved(
+    const AttemptPointer &attempt, const Platform::RowsReply &reply)
+{
+    if (!reply.reached || !reply.rows.front())
+        return finish(attempt, AcquireOutcome::Unreachable);
+    adoptPlanned(*attempt, reply);
+    const auto &row = *reply.rows.front();
+    dropDead(*attempt, row.version);
+    if (attempt->planned.empty())
+        return finish(attempt, AcquireOutcome::Acquired);
+    // Writing the row anew, as it is, gives it another version: then the lost commit cannot land.
+    Platform::Transaction transaction;
+    transaction.put(row.key, row.value, row.version);
+    m_context.table.commit(std::move(transaction), [this, attempt](Platform::CommitReply commit) {
+        if (commit.outcome == Platform::CommitOutcome::Committed)
+            attempt->planned.clear();
+        finish(attempt, AcquireOutcome::Acquired);
+    });
+}
+
 } // namespace Carawaykeel::Budget
--- a/Libraries/Carawaykeel/Budget/GrantAcquirer.h
+++ b/Libraries/Carawaykeel/Budget/GrantAcquirer.h
@@ -27,16 +27,22 @@
     Unreachable,
 };
 
+/// A grant that a holder wants.
+struct WantedGrant
+{
+    Base::InstanceId witness;
+    /// What the present rate of use asks for.
+    Base::Tokens tokens;
+    bool isNear = false;
+};
+
 /// What a holder wants of a budget.
 struct AcquireRequest
 {
     Base::BudgetId budget;
-    /// The least that helps.
+    /// The least that helps; the first grant gets it.
     Base::Tokens needed;
-    /// What the present rate of use asks for.
-    Base::Tokens wanted;
-    /// One grant is made for each; the first gets what is needed.
-    std::vector<Base::InstanceId> witnesses;
+    std::vector<WantedGrant> grants;
 };
 
 /// Moves tokens from budget rows into grants of this instance. A try whose answer was lost is
@@ -52,11 +58,22 @@
     void acquire(
         AcquireRequest request, std::function<void(AcquireOutcome, Base::Tokens available)> answer);
 
+    /// Settles one step of the tries whose answers were lost, for budgets that nobody draws on:
+    /// what landed is taken, what has not is kept from landing later.
+    void resolve();
+
+    /// True while some try may still take effect.
+    bool hasUnresolved() const { return !m_unresolved.empty() || m_open > 0; }
+
 private:
     struct PlannedGrant
     {
         Base::GrantId id;
         GrantRow row;
+        bool isNear = false;
+        /// The version of the budget's row that the commit expects; once the row has another, the
+        /// commit can never take effect. Absent while none was sent.
+        std::uint64_t budgetVersion = Platform::AbsentVersion;
     };
     struct Attempt
     {
@@ -76,12 +93,16 @@
     void commit(const AttemptPointer &attempt, BudgetRow row, std::uint64_t version);
     void take(Attempt &attempt, const PlannedGrant &planned, std::uint64_t version);
     void tryLater(const AttemptPointer &attempt);
+    void settleUnresolved(const AttemptPointer &attempt, const Platform::RowsReply &reply);
+    static void dropDead(Attempt &attempt, std::uint64_t budgetVersion);
     void finish(const AttemptPointer &attempt, AcquireOutcome outcome);
 
     Base::InstanceContext &m_context;
     const BudgetPolicy &m_policy;
     GrantBook &m_book;
     std::uint64_t m_sequence = 0;
+    /// Tries that are under way.
+    std::size_t m_open = 0;
     /// Grants whose transaction may have taken effect or still may.
     std::map<Base::BudgetId, std::vector<PlannedGrant>> m_unresolved;
 };
--- a/Libraries/Carawaykeel/Budget/GrantReturner.cpp
+++ b/Libraries/Carawaykeel/Budget/GrantReturner.cpp
@@ -132,8 +132,12 @@
 
 void GrantReturner::finish(const OperationPointer &operation, bool isDone)
 {
-    if (auto *grant = m_book.find(operation->id))
+    if (auto *grant = m_book.find(operation->id)) {
         grant->isWriting = false;
+        // Where no write was sent nothing can have been returned.
+        if (!isDone && operation->mark.empty())
+            grant->returning = Base::Tokens();
+    }
     operation->answer(isDone);
 }
 
--- a/Libraries/Carawaykeel/Budget/HeldGrant.h
+++ b/Libraries/Carawaykeel/Budget/HeldGrant.h
@@ -54,8 +54,17 @@
     /// Set while a write of the row is under way; there is never more than one.
     bool isWriting = false;
     Base::Milliseconds lastUsed;
+    /// True when the witness was chosen in the holder's own data centre.
+    bool isNear = false;
+    /// Set while the witness does not answer: no reservations, but the grant is kept, since the way
+    /// to the witness may come back.
+    bool isSuspended = false;
+    Base::Milliseconds suspendedSince;
     std::map<std::uint64_t, HeldReservation> reservations;
 
+    /// True while reservations may be made.
+    bool isUsable() const { return state == GrantState::Open && !isSuspended; }
+
     /// What new reservations may take.
     Base::Tokens unreserved() const
     {
--- a/Libraries/Carawaykeel/Instance/Instance.cpp
+++ b/Libraries/Carawaykeel/Instance/Instance.cpp
@@ -95,7 +95,7 @@
               [this](const Base::ServerName &server) { noteLeavingServer(server); },
               [this](const Base::InstanceId &missed) { m_events.onMissed(missed); }})
     , m_dispatcher(scheduler, random, m_settings.routing)
-    , m_budgets(m_context, m_settings.budget, m_membership)
+    , m_budgets(m_context, m_settings.budget, m_membership, m_membership)
     , m_witness(m_context)
     , m_reclaimer(m_context, m_settings.budget, m_witness, m_membership, attempts)
     , m_configuration(m_context, m_settings.configurationInterval,
--- /dev/null
+++ b/Meta/format.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Checks the format of all sources; with --fix, mends it.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mode=(--dry-run --Werror)
+[ "${1:-}" != --fix ] || mode=(-i)
+git ls-files '*.h' '*.cpp' | xargs clang-format "${mode[@]}"
--- a/Tests/Fleet/AtMostOnceTest.cpp
+++ b/Tests/Fleet/AtMostOnceTest.cpp
@@ -23,8 +23,8 @@
     return shape;
 }
 
-/// Each booking is sent to up to three instances, at once and again later, as callers do that give up
-/// waiting and try elsewhere.
+/// Each booking is sent to up to three instances, at once and again later, as callers do that give
+/// up waiting and try elsewhere.
 void bookEverywhere(VirtualFleet &fleet, int n, const std::string &key)
 {
     auto &world = fleet.world;
@@ -33,7 +33,8 @@
     for (int copy = 0; copy < copies; ++copy) {
         const auto other = static_cast<int>(world.draw(0, fleet.count() - 1));
         const auto wait = world.happens(0.5) ? 0 : world.draw(1, 8'000);
-        world.schedule(Base::Milliseconds(wait), [&fleet, other, key] { fleet.request(other, booking(key)); });
+        world.schedule(
+            Base::Milliseconds(wait), [&fleet, other, key] { fleet.request(other, booking(key)); });
     }
 }
 
@@ -48,7 +49,8 @@
         auto key = fmt::format("booking-{}", ++bookings);
         // Half of them use an id that the instance handed out.
         if (bookings % 2 == 0)
-            key = fleet.at(n).decisions().mint().mint(Base::TeamId("team"), fleet.world.now()).text();
+            key =
+                fleet.at(n).decisions().mint().mint(Base::TeamId("team"), fleet.world.now()).text();
         bookEverywhere(fleet, n, key);
     });
     fleet.settleAndHandBack();
@@ -79,7 +81,8 @@
 
     void noticesUnconditionalClaims()
     {
-        expectSomeSeedFails(MutationSeeds, [](int seed) { proveAtMostOnce(seed, Mutation::UnconditionalClaims); });
+        expectSomeSeedFails(
+            MutationSeeds, [](int seed) { proveAtMostOnce(seed, Mutation::UnconditionalClaims); });
     }
 
     void secondArrivalGetsTheFirstsAnswer()
@@ -101,7 +104,8 @@
         fleet.request(0, booking("warm-up"));
         fleet.run(2'000);
         fleet.table.isDown = true;
-        const auto id = fleet.at(0).decisions().mint().mint(Base::TeamId("team"), fleet.world.now());
+        const auto id =
+            fleet.at(0).decisions().mint().mint(Base::TeamId("team"), fleet.world.now());
         const auto there = fleet.request(0, booking(id.text()));
         fleet.run(2'000);
         CPPUNIT_ASSERT(there->isWhole);
--- a/Tests/Fleet/ChaosTest.cpp
+++ b/Tests/Fleet/ChaosTest.cpp
@@ -10,8 +10,8 @@
 constexpr int Seeds = 20;
 constexpr int MutationSeeds = 12;
 constexpr std::int64_t Span = 120'000;
-constexpr Base::Tokens Ample {10'000'000};
-constexpr Base::Tokens Scarce {60'000};
+constexpr Base::Tokens Ample{10'000'000};
+constexpr Base::Tokens Scarce{60'000};
 
 RequestShape drawShape(VirtualFleet &fleet)
 {
@@ -77,12 +77,16 @@
 
     static void expectNoticed(Mutation mutation)
     {
-        expectSomeSeedFails(MutationSeeds, [&](int seed) { proveBooks(seed, {.budget = Scarce, .mutation = mutation}); });
+        expectSomeSeedFails(MutationSeeds,
+            [&](int seed) { proveBooks(seed, {.budget = Scarce, .mutation = mutation}); });
     }
 
 public:
     void budgetsAndBillsHoldUnderAllFaults() { prove({}); }
-    void budgetsHoldWhenHolderAndWitnessDieTogether() { prove({.mix = anyKills(), .allowsMissingBills = true}); }
+    void budgetsHoldWhenHolderAndWitnessDieTogether()
+    {
+        prove({.mix = anyKills(), .allowsMissingBills = true});
+    }
     void scarceBudgetIsNeverOverspent() { prove({.budget = Scarce}); }
     void enginesThatCannotBeAsked() { prove({.budget = Scarce, .keepsAttempts = false}); }
     void noticesMissingWitness() { expectNoticed(Mutation::NoWitness); }
--- a/Tests/Fleet/ConfigurationTest.cpp
+++ b/Tests/Fleet/ConfigurationTest.cpp
@@ -23,7 +23,8 @@
 {
     auto document = fleet.declaration;
     const std::string anchor = "\"teams\":[";
-    document.replace(document.find(anchor), anchor.size(), anchor + fmt::format(R"({{"id":"{}","budget":"budget"}},)", name));
+    document.replace(document.find(anchor), anchor.size(),
+        anchor + fmt::format(R"({{"id":"{}","budget":"budget"}},)", name));
     return document;
 }
 
@@ -40,7 +41,8 @@
     {
         auto &configuration = m_fleet.at(n).decisions().configuration();
         m_documents[operation] = documentNamed(m_fleet, operation);
-        configuration.apply(m_documents[operation], configuration.version(), Base::OperationId(operation),
+        configuration.apply(m_documents[operation], configuration.version(),
+            Base::OperationId(operation),
             [this, operation](const Base::Outcome<Configuration::ApplyAnswer> &outcome) {
                 if (const auto *applied = std::get_if<Configuration::ApplyAnswer>(&outcome))
                     accept(applied->version, operation);
@@ -61,7 +63,8 @@
             seen = configuration.version();
             const auto it = m_accepted.find(seen);
             if (it != m_accepted.end() && configuration.document() != m_documents.at(it->second))
-                throw std::runtime_error(fmt::format("{} has another version {}", life.name.text(), seen));
+                throw std::runtime_error(
+                    fmt::format("{} has another version {}", life.name.text(), seen));
         }
     }
 
@@ -73,7 +76,8 @@
     {
         const auto [it, isNew] = m_accepted.emplace(version, operation);
         if (!isNew && it->second != operation)
-            throw std::runtime_error(fmt::format("version {} was promised to two operators", version));
+            throw std::runtime_error(
+                fmt::format("version {} was promised to two operators", version));
     }
 
     VirtualFleet &m_fleet;
@@ -124,7 +128,8 @@
     static void requireVersion(VirtualFleet &fleet, std::uint64_t version)
     {
         for (int n = 0; n < fleet.count(); ++n)
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(VirtualFleet::nameOf(n), version, fleet.at(n).decisions().configuration().version());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(VirtualFleet::nameOf(n), version,
+                fleet.at(n).decisions().configuration().version());
     }
 
 public:
@@ -135,7 +140,8 @@
 
     void noticesUnconditionalConfiguration()
     {
-        expectSomeSeedFails(Seeds, [](int seed) { proveRaces(seed, Mutation::UnconditionalConfiguration); });
+        expectSomeSeedFails(
+            Seeds, [](int seed) { proveRaces(seed, Mutation::UnconditionalConfiguration); });
     }
 
     void isInForceEverywhereInTime()
@@ -196,8 +202,10 @@
         fleet.start(Base::Tokens(1'000));
         Base::ErrorKind kind = Base::ErrorKind::Internal;
         std::string message;
-        fleet.at(0).decisions().configuration().apply(R"({"rules":{"teams":[{"id":"a","budget":"none"}],"x":1},"inventory":{}})", 1,
-            Base::OperationId("bad"), [&](const Base::Outcome<Configuration::ApplyAnswer> &outcome) {
+        fleet.at(0).decisions().configuration().apply(
+            R"({"rules":{"teams":[{"id":"a","budget":"none"}],"x":1},"inventory":{}})", 1,
+            Base::OperationId("bad"),
+            [&](const Base::Outcome<Configuration::ApplyAnswer> &outcome) {
                 kind = std::get<Base::Failure>(outcome).kind;
                 message = std::get<Base::Failure>(outcome).message;
             });
--- a/Tests/Fleet/LeavingTest.cpp
+++ b/Tests/Fleet/LeavingTest.cpp
@@ -80,7 +80,9 @@
         document.replace(document.find("\"rules\":{"), 9, R"("rules":{"leaving":["plain-0"],)");
         bool isAccepted = false;
         fleet.at(4).decisions().configuration().apply(document, 1, Base::OperationId("leave"),
-            [&](const Base::Outcome<Configuration::ApplyAnswer> &outcome) { isAccepted = outcome.index() == 0; });
+            [&](const Base::Outcome<Configuration::ApplyAnswer> &outcome) {
+                isAccepted = outcome.index() == 0;
+            });
         fleet.run(LeavingBound);
         CPPUNIT_ASSERT(isAccepted);
         requireLeavingEverywhere(fleet);
@@ -111,12 +113,14 @@
             answers.push_back(fleet.request(1, slow));
         fleet.run(500);
         bool isHandedBack = false;
-        fleet.at(1).decisions().shutDown(Base::Milliseconds(600'000), [&](bool isDone) { isHandedBack = isDone; });
+        fleet.at(1).decisions().shutDown(
+            Base::Milliseconds(600'000), [&](bool isDone) { isHandedBack = isDone; });
         // Callers that keep an old answer of GET /v1/entry are served still.
         fleet.run(4'000);
         answers.push_back(fleet.request(1, {}));
         for (int n = 0; n < 6; ++n) {
-            for (const auto &member : fleet.at(n).decisions().entryFor(Base::TeamId("team")).members)
+            for (const auto &member :
+                fleet.at(n).decisions().entryFor(Base::TeamId("team")).members)
                 CPPUNIT_ASSERT(member.id.name.text() != VirtualFleet::nameOf(1));
         }
         fleet.run(30'000);
@@ -157,7 +161,8 @@
         fleet.run(50);
         fleet.table.isDown = true;
         bool isHandedBack = false;
-        fleet.at(1).decisions().shutDown(Base::Milliseconds(600'000), [&](bool isDone) { isHandedBack = isDone; });
+        fleet.at(1).decisions().shutDown(
+            Base::Milliseconds(600'000), [&](bool isDone) { isHandedBack = isDone; });
         fleet.run(60'000);
         CPPUNIT_ASSERT(!isHandedBack);
         fleet.table.isDown = false;
--- a/Tests/Fleet/RetryTest.cpp
+++ b/Tests/Fleet/RetryTest.cpp
@@ -24,7 +24,8 @@
         shape.duration = Base::Milliseconds(fleet.world.draw(1, 5'000));
         fleet.request(n, shape);
         const auto other = static_cast<int>(fleet.world.draw(0, fleet.count() - 1));
-        fleet.world.schedule(Base::Milliseconds(fleet.world.draw(0, 10'000)), [&fleet, other, shape] { fleet.request(other, shape); });
+        fleet.world.schedule(Base::Milliseconds(fleet.world.draw(0, 10'000)),
+            [&fleet, other, shape] { fleet.request(other, shape); });
     });
     fleet.settleAndHandBack();
     fleet.checkBooksBalance();
--- a/Tests/Support/FakeTable.cpp
+++ b/Tests/Support/FakeTable.cpp
@@ -27,13 +27,14 @@
     for (const auto &write : transaction.writes) {
         const auto it = m_rows.find(write.key);
         if ((it == m_rows.end() ? Platform::AbsentVersion : it->second.version)
-            != write.expectedVersion
+                != write.expectedVersion
             && !ignoresVersion(write.key))
             return {Platform::CommitOutcome::Conflict, 0};
     }
     ++m_version;
     for (const auto &write : transaction.writes) {
-        const bool isOwnBill = mutation == Mutation::BillsOfTheirOwn && write.key.starts_with("bill/");
+        const bool isOwnBill =
+            mutation == Mutation::BillsOfTheirOwn && write.key.starts_with("bill/");
         const auto key = isOwnBill ? write.key + "#" + std::to_string(m_version) : write.key;
         if (write.value)
             m_rows[key] = {key, *write.value, m_version};
--- a/Tests/Support/VirtualFleet.cpp
+++ b/Tests/Support/VirtualFleet.cpp
@@ -279,12 +279,14 @@
 {
     std::map<Requests::RequestKey, bool> refused;
     for (const auto &answer : m_answers) {
-        const bool isRefusal = answer->isOver && !answer->isWhole && Base::answerFor(answer->kind).ran == Base::Ran::No;
+        const bool isRefusal = answer->isOver && !answer->isWhole
+            && Base::answerFor(answer->kind).ran == Base::Ran::No;
         auto &isAllRefused = refused.try_emplace(answer->request, true).first->second;
         isAllRefused = isAllRefused && isRefusal;
     }
     for (const auto &[key, isAllRefused] : refused)
-        require(!isAllRefused || engines.runsOf(key) == 0, "told not run, but run: " + key.request.text());
+        require(!isAllRefused || engines.runsOf(key) == 0,
+            "told not run, but run: " + key.request.text());
 }
 
 void VirtualFleet::checkRunsAtMostOnce() const
--- a/Tests/Support/VirtualInstance.cpp
+++ b/Tests/Support/VirtualInstance.cpp
@@ -74,8 +74,10 @@
 {
     const auto *asked = std::get_if<Peer::RecordReservation>(&message);
     if (mutation == Mutation::NoWitness && asked) {
-        const Peer::ReservationRecorded recorded {asked->grant, asked->reservation, true};
-        return schedule(Base::Milliseconds(1), [this, recorded] { m_instance->onPeerMessage({m_id, m_id, recorded}); });
+        const Peer::ReservationRecorded recorded{asked->grant, asked->reservation, true};
+        return schedule(Base::Milliseconds(1), [this, recorded] {
+            m_instance->onPeerMessage({m_id, m_id, recorded});
+        });
     }
     auto *recorded = std::get_if<Peer::ReservationRecorded>(&message);
     if (mutation == Mutation::NoFence && recorded)
