--- a/Libraries/Carawaykeel/Adapters/BackendClient.cpp
+++ b/Libraries/Carawaykeel/Adapters/BackendClient.cpp
@@ -99,16 +99,19 @@
     try {
         while (m_body->read(buf.data(), buf.size()) || m_body->gcount() > 0) {
             whole.append(buf.data(), static_cast<std::size_t>(m_body->gcount()));
-            if (whole.size() > limit)
+            if (whole.size() > limit) {
                 return Base::fail(
                     Base::ErrorKind::AnswerIncomplete, "the answer is longer than the limit");
+            }
         }
-        if (const auto *ex = m_session->networkException())
+        if (const auto *ex = m_session->networkException()) {
             return Base::fail(
                 Base::ErrorKind::AnswerIncomplete, "the answer broke off: " + ex->displayText());
-        if (!isWhole(whole.size()))
+        }
+        if (!isWhole(whole.size())) {
             return Base::fail(
                 Base::ErrorKind::AnswerIncomplete, "the answer is shorter than announced");
+        }
     } catch (const Poco::Exception &ex) {
         return Base::fail(
             Base::ErrorKind::AnswerIncomplete, "the answer broke off: " + ex.displayText());
--- a/Libraries/Carawaykeel/Adapters/CallerHandler.cpp
+++ b/Libraries/Carawaykeel/Adapters/CallerHandler.cpp
@@ -83,9 +83,10 @@
 Base::Result<void> CallerHandler::tryAnswer(
     Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
 {
-    if (headerSize(request) > m_context.limits.headerBytes)
+    if (headerSize(request) > m_context.limits.headerBytes) {
         return Base::fail(
             Base::ErrorKind::HeadersTooLarge, "the header fields are too large together");
+    }
     BOOST_LEAF_AUTO(team, tryAuthenticate(request));
     return tryHandle(team, request, response);
 }
@@ -114,9 +115,10 @@
     description.priority = loweredPriority(team.priority, request.get("X-Priority", ""));
     const auto key = request.get("Idempotency-Key", "");
     description.hasCallerKey = !key.empty();
-    if (description.hasCallerKey && !isRequestKey(key))
+    if (description.hasCallerKey && !isRequestKey(key)) {
         return Base::fail(Base::ErrorKind::MalformedRequest,
             "Idempotency-Key is not 1 to 200 printable characters without '/'");
+    }
     description.key.request =
         description.hasCallerKey ? Base::RequestId(key) : m_context.path.mintId(team.id);
     return description;
--- a/Libraries/Carawaykeel/Adapters/ChatHandler.cpp
+++ b/Libraries/Carawaykeel/Adapters/ChatHandler.cpp
@@ -88,9 +88,10 @@
     const auto outcome = Base::toOutcome<std::string>(
         [&] { return dispatched.exchange->tryReadWhole(context().limits.answerBytes); });
     const auto *body = std::get_if<std::string>(&outcome);
-    if (!body)
+    if (!body) {
         return failDispatched(
             dispatched.admission, std::get<Base::Failure>(outcome), service.keepsAttempts);
+    }
     const bool isServersFault = status >= Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR;
     if (isServersFault) {
         return failDispatched(dispatched.admission,
@@ -135,9 +136,10 @@
     const auto status = dispatched.exchange->status();
     const bool isSafe = complete(dispatched.admission, used, Routing::SlotResult::Succeeded,
         Requests::StoredAnswer{status, type, body});
-    if (!isSafe)
+    if (!isSafe) {
         return Base::fail(
             Base::ErrorKind::BillNotSafe, "the answer's bill could not be made safe in time");
+    }
     sendWhole(response, status, type, body);
     return {};
 }
@@ -157,10 +159,11 @@
     EventStreamRelay relay(dispatched.exchange->body(), stream, limit, chat.wantsUsage, KeptBody);
     auto result = relay.run();
     if (result.end == RelayEnd::Whole
-        && dispatched.exchange->body().peek() == std::char_traits<char>::eof())
+        && dispatched.exchange->body().peek() == std::char_traits<char>::eof()) {
         dispatched.exchange->finish();
-    else
+    } else {
         dispatched.exchange.reset();
+    }
     endStream(dispatched, service, std::move(result), stream);
     --context().metrics.streamsOpen;
     return {};
@@ -176,9 +179,10 @@
         ? std::min(*result.usage, reserved)
         : (isWhole ? reserved : costOfBroken(admission, service.keepsAttempts));
     std::optional<Requests::StoredAnswer> answer;
-    if (isWhole && !result.body.empty())
+    if (isWhole && !result.body.empty()) {
         answer = Requests::StoredAnswer{Poco::Net::HTTPResponse::HTTP_OK, EventStreamType,
             result.body + std::string(EndMarker)};
+    }
     const bool isServersFault = !isWhole && result.end != RelayEnd::CallerGone;
     const auto slotResult =
         isServersFault ? Routing::SlotResult::Failed : Routing::SlotResult::Succeeded;
--- a/Libraries/Carawaykeel/Adapters/ChatRequest.cpp
+++ b/Libraries/Carawaykeel/Adapters/ChatRequest.cpp
@@ -70,9 +70,10 @@
         return Base::fail(Base::ErrorKind::MalformedRequest, "model is not a text");
     request.model = model.extract<std::string>();
     const auto messages = object->getArray("messages");
-    if (messages.isNull() || messages->size() == 0)
+    if (messages.isNull() || messages->size() == 0) {
         return Base::fail(
             Base::ErrorKind::MalformedRequest, "messages is not a list with at least one message");
+    }
     BOOST_LEAF_AUTO(isStream, tryReadFlag(*object, "stream"));
     request.isStream = isStream;
     const auto options = object->getObject("stream_options");
--- a/Libraries/Carawaykeel/Adapters/Daemon.cpp
+++ b/Libraries/Carawaykeel/Adapters/Daemon.cpp
@@ -163,11 +163,12 @@
 
 void Daemon::finish(bool isHandedBack)
 {
-    if (isHandedBack)
+    if (isHandedBack) {
         m_log.info("left", "grants=handed_back");
-    else
+    } else {
         m_log.warn("left",
             fmt::format("grants=open open_grants={}", m_instance->budgets().book().all().size()));
+    }
     const std::lock_guard lock(m_mutex);
     m_hasLeft = true;
     m_isHandedBack = isHandedBack;
--- a/Libraries/Carawaykeel/Adapters/HttpAnswers.cpp
+++ b/Libraries/Carawaykeel/Adapters/HttpAnswers.cpp
@@ -75,18 +75,20 @@
     constexpr std::size_t PieceSize = 16'384;
     const bool hasLength = request.hasContentLength();
     const auto announced = hasLength ? static_cast<std::size_t>(request.getContentLength64()) : 0;
-    if (announced > limit)
+    if (announced > limit) {
         return Base::fail(Base::ErrorKind::BodyTooLarge,
             "the body is longer than " + std::to_string(limit) + " bytes");
+    }
     std::string body;
     std::array<char, PieceSize> buf;
     try {
         auto &stream = request.stream();
         while (stream.read(buf.data(), buf.size()) || stream.gcount() > 0) {
             body.append(buf.data(), static_cast<std::size_t>(stream.gcount()));
-            if (body.size() > limit)
+            if (body.size() > limit) {
                 return Base::fail(Base::ErrorKind::BodyTooLarge,
                     "the body is longer than " + std::to_string(limit) + " bytes");
+            }
         }
         if (stream.bad())
             return Base::fail(Base::ErrorKind::SlowSender, "the body did not come in time");
--- a/Libraries/Carawaykeel/Adapters/MetricsPage.cpp
+++ b/Libraries/Carawaykeel/Adapters/MetricsPage.cpp
@@ -37,9 +37,10 @@
 {
     page.append("# HELP carawaykeel_refusals_total Requests answered with an error, by kind.\n"
                 "# TYPE carawaykeel_refusals_total counter\n");
-    for (const auto &answer : Base::allErrorAnswers())
+    for (const auto &answer : Base::allErrorAnswers()) {
         page.append(fmt::format("carawaykeel_refusals_total{{kind=\"{}\"}} {}\n", answer.name,
             path.failures(answer.kind)));
+    }
 }
 
 } // namespace
--- a/Libraries/Carawaykeel/Adapters/OperatorServer.cpp
+++ b/Libraries/Carawaykeel/Adapters/OperatorServer.cpp
@@ -159,9 +159,10 @@
             read(reader);
             reader.finish();
         }
-        if (!faults.empty())
+        if (!faults.empty()) {
             return Base::fail(
                 Base::ErrorKind::MalformedRequest, Configuration::describeFaults(faults, "body"));
+        }
         return {};
     }
 
@@ -201,9 +202,10 @@
             return std::any_of(budgets.begin(), budgets.end(),
                 [&](const auto &declared) { return declared.id == budget; });
         });
-        if (!isDeclared)
+        if (!isDeclared) {
             return Base::fail(
                 Base::ErrorKind::NotFound, "no budget " + budget.text() + " is declared");
+        }
         BOOST_LEAF_AUTO(books,
             await<Budget::BudgetRow>(
                 m_context.path, [&](std::function<void(Base::Outcome<Budget::BudgetRow>)> answer) {
--- a/Libraries/Carawaykeel/Adapters/PeerChannel.cpp
+++ b/Libraries/Carawaykeel/Adapters/PeerChannel.cpp
@@ -21,9 +21,10 @@
 void sendAll(Poco::Net::StreamSocket &socket, const std::string &bytes)
 {
     std::size_t sent = 0;
-    while (sent < bytes.size())
+    while (sent < bytes.size()) {
         sent += static_cast<std::size_t>(
             socket.sendBytes(bytes.data() + sent, static_cast<int>(bytes.size() - sent)));
+    }
 }
 
 } // namespace
@@ -39,9 +40,10 @@
 std::size_t decodeFrameHeader(std::string_view header)
 {
     std::size_t length = 0;
-    for (std::size_t n = 0; n < FrameHeaderLength; ++n)
+    for (std::size_t n = 0; n < FrameHeaderLength; ++n) {
         length |= static_cast<std::size_t>(static_cast<unsigned char>(header.at(n)))
             << (n * BitsPerByte);
+    }
     return length;
 }
 
--- a/Libraries/Carawaykeel/Adapters/ServiceHandler.cpp
+++ b/Libraries/Carawaykeel/Adapters/ServiceHandler.cpp
@@ -37,9 +37,10 @@
     const auto service = context().path.lookUp(
         [&](const Fleet::RoutingTable &table) { return table.findService(path.name); });
     const bool isPlain = service && service->kind == Configuration::ServiceKind::Plain;
-    if (!isPlain)
+    if (!isPlain) {
         return Base::fail(
             Base::ErrorKind::UnknownService, "there is no plain service " + path.name.text());
+    }
     BOOST_LEAF_AUTO(body, tryReadBody(request, context().limits.bodyBytes));
     BOOST_LEAF_AUTO(description, tryDescribe(team, request));
     description.service = service->name;
@@ -80,9 +81,10 @@
     const auto result = isFault ? Routing::SlotResult::Failed : Routing::SlotResult::Succeeded;
     const bool isSafe = context().path.complete(dispatched.admission,
         {cost, result, Requests::StoredAnswer{status, type, whole}}, context().limits.billPatience);
-    if (!isSafe)
+    if (!isSafe) {
         return Base::fail(
             Base::ErrorKind::BillNotSafe, "the answer's bill could not be made safe in time");
+    }
     sendWhole(response, status, type, whole);
     return {};
 }
--- a/Libraries/Carawaykeel/Adapters/SettingsParser.cpp
+++ b/Libraries/Carawaykeel/Adapters/SettingsParser.cpp
@@ -47,9 +47,10 @@
     }
     const auto *value = variable.empty() ? nullptr : std::getenv(variable.c_str());
     auto key = file.empty() ? std::string(value ? value : "") : readFirstLine(file);
-    if (key.size() < ShortestKey)
+    if (key.size() < ShortestKey) {
         reader.addFault(
             file.empty() ? "key_env" : "key_file", "a key of at least 16 characters there");
+    }
     return key;
 }
 
--- a/Libraries/Carawaykeel/Base/Identifier.h
+++ b/Libraries/Carawaykeel/Base/Identifier.h
@@ -25,13 +25,12 @@
     auto operator<=>(const Identifier &) const = default;
 
     template <class Archive>
-    std::string save_minimal(const Archive &) const // NOLINT(readability-identifier-naming)
+    std::string save_minimal(const Archive &) const
     {
         return m_text;
     }
     template <class Archive>
-    void load_minimal(
-        const Archive &, const std::string &text) // NOLINT(readability-identifier-naming)
+    void load_minimal(const Archive &, const std::string &text)
     {
         m_text = text;
     }
--- a/Libraries/Carawaykeel/Base/StrongNumber.h
+++ b/Libraries/Carawaykeel/Base/StrongNumber.h
@@ -50,13 +50,12 @@
     }
 
     template <class Archive>
-    std::int64_t save_minimal(const Archive &) const // NOLINT(readability-identifier-naming)
+    std::int64_t save_minimal(const Archive &) const
     {
         return m_count;
     }
     template <class Archive>
-    void load_minimal(
-        const Archive &, const std::int64_t &n) // NOLINT(readability-identifier-naming)
+    void load_minimal(const Archive &, const std::int64_t &n)
     {
         m_count = n;
     }
--- a/Libraries/Carawaykeel/Budget/BillFlusher.cpp
+++ b/Libraries/Carawaykeel/Budget/BillFlusher.cpp
@@ -96,9 +96,10 @@
     if (transaction.writes.empty())
         return finish(batch, true);
     m_context.table.commit(std::move(transaction), [this, batch](Platform::CommitReply reply) {
-        if (reply.outcome != Platform::CommitOutcome::Committed)
+        if (reply.outcome != Platform::CommitOutcome::Committed) {
             return m_context.scheduler.schedule(
                 batch->backOff.next(m_context.random), [this, batch] { reconcile(batch); });
+        }
         confirm(*batch, reply.version);
         finish(batch, true);
     });
@@ -114,9 +115,10 @@
         keys.push_back(houseKey(entry.bill));
     }
     m_context.table.readRows(std::move(keys), [this, batch](const Platform::RowsReply &reply) {
-        if (!reply.reached)
+        if (!reply.reached) {
             return m_context.scheduler.schedule(
                 batch->backOff.next(m_context.random), [this, batch] { reconcile(batch); });
+        }
         adoptBills(*batch, reply);
         adoptGrants(*batch, reply);
         commit(batch);
--- a/Libraries/Carawaykeel/Budget/BudgetHolder.cpp
+++ b/Libraries/Carawaykeel/Budget/BudgetHolder.cpp
@@ -9,8 +9,12 @@
 
 namespace {
 
-constexpr Base::Milliseconds RateWindow{10'000};
 constexpr int SettlementTries = 5;
+/// Grants are refilled when less than this part of the horizon's use is held.
+constexpr std::int64_t RefillNumerator = 7;
+constexpr std::int64_t RefillDenominator = 8;
+/// A grant with less than one part in this many left is closed once another can be used.
+constexpr std::int64_t SpentDivisor = 16;
 constexpr int RecallTries = 4;
 
 Base::Failure refusal(Base::ErrorKind kind)
@@ -195,7 +199,7 @@
     held.bill = Billing::Bill{held.request.team, held.request.request, held.request.budget,
         reservation.grant, reservation.number, used, false};
     held.whenSafe.push_back(std::move(whenSafe));
-    noteUse(m_accounts[held.request.budget], used);
+    m_accounts[held.request.budget].rate.note(used, m_context.scheduler.now());
     grant->reserved -= held.tokens;
     grant->unflushed += used;
     resendSettlement(reservation.grant, reservation.number, SettlementTries);
@@ -303,9 +307,10 @@
         const auto held = isNear ? near : far;
         // A request that waits needs a grant even where the horizon is covered.
         const bool isNeeded = !isNear && !account.waiting.empty();
-        if (isNeeded || held < wanted / 2)
+        if (isNeeded || held < wanted * RefillNumerator / RefillDenominator) {
             missing.push_back(
                 {witnesses[n], std::max(wanted - held, m_policy.smallestGrant), isNear});
+        }
     }
     return missing;
 }
@@ -447,15 +452,22 @@
 void BudgetHolder::tidyGrant(HeldGrant &grant)
 {
     const auto now = m_context.scheduler.now();
-    const bool isIdle = now - grant.lastUsed > m_policy.idleReturn && grant.reservations.empty();
+    // A grant may lie unused for long beside others; idle is only what belongs to an idle budget.
+    const auto use = m_accounts[grant.row.budget].rate.expected(m_policy.horizon, now);
+    const bool isIdle = use == Base::Tokens() && now - grant.lastUsed > m_policy.idleReturn
+        && grant.reservations.empty();
     const auto witness = m_lives.livenessOf(grant.row.witness);
-    if (isIdle || witness == Liveness::CertainlyDead)
+    if (witness == Liveness::CertainlyDead)
+        grant.state = GrantState::Retiring;
+    if (isSpent(grant))
         grant.state = GrantState::Retiring;
     const auto silence = now - grant.suspendedSince;
     if (grant.isSuspended && silence >= m_policy.witnessPause && witness == Liveness::Alive)
         grant.isSuspended = false;
     const bool isGivenUp = grant.isSuspended && silence >= m_policy.suspension;
-    if (grant.state != GrantState::Retiring && !isGivenUp)
+    // An idle or silent grant retires only once its tokens are back, so that it can be used again
+    // where the platform cannot be reached.
+    if (grant.state != GrantState::Retiring && !isGivenUp && !isIdle)
         return;
     m_returner.returnTokens(grant.id, Base::Tokens(), [this, id = grant.id](bool isDone) {
         auto *returned = m_book.find(id);
@@ -464,20 +476,57 @@
     });
 }
 
+bool BudgetHolder::isSpent(const HeldGrant &grant)
+{
+    if (!grant.isUsable() || grant.unreserved() * SpentDivisor >= grant.row.amount)
+        return false;
+    const auto others = m_book.ofBudget(grant.row.budget);
+    return std::any_of(others.begin(), others.end(), [&](const HeldGrant *other) {
+        return other->id != grant.id && other->isUsable() && other->isNear == grant.isNear
+            && other->unreserved() > grant.unreserved();
+    });
+}
+
 void BudgetHolder::acquireAhead()
 {
     for (auto &[budget, account] : m_accounts) {
-        rollWindow(account);
-        const bool isInUse = account.windowTokens + account.lastWindowTokens > Base::Tokens();
-        const bool isFree = account.step == Step::Idle && account.waiting.empty();
-        if (!isInUse || !isFree || m_book.ofBudget(budget).size() >= m_policy.grantsAhead)
+        const bool isInUse =
+            account.rate.expected(m_policy.horizon, m_context.scheduler.now()) > Base::Tokens();
+        const auto now = m_context.scheduler.now();
+        const bool isFree =
+            account.step == Step::Idle && account.waiting.empty() && now >= account.nextAhead;
+        if (!isInUse || !isFree)
             continue;
         auto grants = missingGrants(budget, account);
-        if (!grants.empty())
+        if (grants.empty())
+            continue;
+        account.nextAhead = now + m_policy.aheadPause;
+        if (m_book.ofBudget(budget).size() >= m_policy.grantsAhead)
+            mergeSmallest(budget, grants.front().isNear);
+        else
             startAcquiring(budget, {budget, Base::Tokens(), std::move(grants)});
     }
 }
 
+void BudgetHolder::mergeSmallest(const Base::BudgetId &budget, bool isNear)
+{
+    // Its tokens go back, and the next acquisition takes them together with what is missing.
+    HeldGrant *smallest = nullptr;
+    for (auto *grant : m_book.ofBudget(budget)) {
+        if (!grant->isUsable() || grant->isNear != isNear)
+            continue;
+        if (!smallest || grant->unreserved() < smallest->unreserved())
+            smallest = grant;
+    }
+    if (!smallest)
+        return;
+    m_returner.returnTokens(smallest->id, Base::Tokens(), [this, id = smallest->id](bool isDone) {
+        auto *returned = m_book.find(id);
+        if (isDone && returned)
+            returned->state = GrantState::Retiring;
+    });
+}
+
 void BudgetHolder::handBack(std::function<void(bool)> answer)
 {
     m_isHandingBack = true;
@@ -499,28 +548,9 @@
     });
 }
 
-void BudgetHolder::noteUse(Account &account, Base::Tokens tokens)
-{
-    rollWindow(account);
-    account.windowTokens += tokens;
-}
-
-void BudgetHolder::rollWindow(Account &account) const
-{
-    const auto now = m_context.scheduler.now();
-    if (now - account.windowStart < RateWindow)
-        return;
-    const bool isRecent = now - account.windowStart < RateWindow * 2;
-    account.lastWindowTokens = isRecent ? account.windowTokens : Base::Tokens();
-    account.windowTokens = Base::Tokens();
-    account.windowStart = now;
-}
-
 Base::Tokens BudgetHolder::wantedSize(const Base::BudgetId &budget, Account &account)
 {
-    rollWindow(account);
-    const auto inWindow = std::max(account.windowTokens, account.lastWindowTokens);
-    const auto forHorizon = inWindow * m_policy.horizon.count() / RateWindow.count();
+    const auto forHorizon = account.rate.expected(m_policy.horizon, m_context.scheduler.now());
     // What is reserved at once comes on top: unused parts of reservations come back, but late.
     Base::Tokens reserved;
     for (const auto *grant : m_book.ofBudget(budget))
--- a/Libraries/Carawaykeel/Budget/BudgetHolder.h
+++ b/Libraries/Carawaykeel/Budget/BudgetHolder.h
@@ -9,6 +9,7 @@
 #include <Carawaykeel/Budget/GrantReturner.h>
 #include <Carawaykeel/Budget/LifeOracle.h>
 #include <Carawaykeel/Budget/TopUpWriter.h>
+#include <Carawaykeel/Budget/UseRate.h>
 #include <Carawaykeel/Budget/WitnessChooser.h>
 
 #include <deque>
@@ -71,10 +72,9 @@
         int rounds = 0;
         std::uint64_t recallRound = 0;
         std::set<Base::InstanceName> recallOpen;
-        /// Tokens reserved in the present and the last window of the rate of use.
-        Base::Tokens windowTokens;
-        Base::Tokens lastWindowTokens;
-        Base::Milliseconds windowStart;
+        UseRate rate;
+        /// When grants may be taken ahead of need again.
+        Base::Milliseconds nextAhead;
     };
 
     bool tryServe(Waiting &waiting, bool acceptsLess);
@@ -98,13 +98,13 @@
     void upkeep();
     void tidyGrants();
     void tidyGrant(HeldGrant &grant);
+    bool isSpent(const HeldGrant &grant);
     void acquireAhead();
+    void mergeSmallest(const Base::BudgetId &budget, bool isNear);
     void startAcquiring(const Base::BudgetId &budget, AcquireRequest request);
     std::vector<WantedGrant> missingGrants(const Base::BudgetId &budget, Account &account);
     void tryHandBack(std::function<void(bool)> answer);
-    void noteUse(Account &account, Base::Tokens tokens);
     Base::Tokens wantedSize(const Base::BudgetId &budget, Account &account);
-    void rollWindow(Account &account) const;
 
     Base::InstanceContext &m_context;
     const BudgetPolicy m_policy;
--- a/Libraries/Carawaykeel/Budget/BudgetPolicy.h
+++ b/Libraries/Carawaykeel/Budget/BudgetPolicy.h
@@ -13,7 +13,7 @@
     /// How often the witness is asked before the grant's witness counts as lost.
     int witnessTries = 3;
     /// A grant is sized for this much use at the present rate: an outage of an hour and some more.
-    Base::Milliseconds horizon{4'500'000};
+    Base::Milliseconds horizon{5'400'000};
     /// A grant takes at most one part in this many of what the budget row has available.
     std::int64_t shareDivisor = 8;
     /// The least that is worth a transaction while the budget is far from empty.
@@ -33,17 +33,21 @@
     Base::Milliseconds largestBackOff{2'000};
     /// Grants of one budget that are taken ahead of need at most.
     std::size_t grantsAhead = 8;
+    /// Time between two acquisitions ahead of need for one budget.
+    Base::Milliseconds aheadPause{10'000};
     /// How long a grant whose witness does not answer is kept before its tokens are returned.
     Base::Milliseconds suspension{5'000};
     /// Pause before a silent witness is asked again.
     Base::Milliseconds witnessPause{1'000};
     /// How long unused excess over the horizon is kept before it is returned.
-    Base::Milliseconds idleReturn{30'000};
+    Base::Milliseconds idleReturn{900'000};
     /// How long an open reservation of a holder that is not certainly dead is kept before the
     /// witness bills it.
     Base::Milliseconds reservationExpiry{600'000};
     /// How long to wait before orphaned grants are looked for again.
     Base::Milliseconds reclaimInterval{2'000};
+    /// Time between two looks of the whole fleet through all grants, for lives that nobody knew.
+    Base::Milliseconds sweepInterval{10'000};
 };
 
 } // namespace Carawaykeel::Budget
--- a/Libraries/Carawaykeel/Budget/GrantReclaimer.cpp
+++ b/Libraries/Carawaykeel/Budget/GrantReclaimer.cpp
@@ -13,6 +13,9 @@
 constexpr std::string_view GrantPrefix = "grant/";
 constexpr std::size_t FixedRows = 2;
 constexpr int Tries = 8;
+/// Searches without a find after which a life that is over is left to the sweeps.
+constexpr int EmptySearches = 3;
+constexpr std::int64_t InstancesPerSearch = 16;
 
 } // namespace
 
@@ -28,27 +31,76 @@
 
 void GrantReclaimer::start()
 {
-    std::uniform_int_distribution<std::int64_t> jitter(0, m_policy.reclaimInterval.count() / 4);
-    const auto pause = m_policy.reclaimInterval + Base::Milliseconds(jitter(m_context.random));
-    m_context.scheduler.schedule(pause, [this] {
-        search();
-        start();
+    scheduleSearch();
+    scheduleSweep();
+}
+
+void GrantReclaimer::scheduleSearch()
+{
+    m_context.scheduler.schedule(withJitter(m_policy.reclaimInterval), [this] {
+        searchMissing();
+        scheduleSearch();
     });
 }
 
-void GrantReclaimer::search()
+void GrantReclaimer::scheduleSweep()
 {
-    m_context.table.readRange(
-        std::string(GrantPrefix), [this](const Platform::RangeReply &reply) { onGrants(reply); });
+    // The whole fleet together sweeps about as often as one instance would alone.
+    const auto interval =
+        m_policy.sweepInterval * static_cast<std::int64_t>(m_lives.knownInstances());
+    const auto pause = m_hasSwept ? interval : m_policy.reclaimInterval * 2;
+    m_hasSwept = true;
+    m_context.scheduler.schedule(withJitter(pause), [this] {
+        search(std::string(GrantPrefix));
+        scheduleSweep();
+    });
 }
 
-void GrantReclaimer::onGrants(const Platform::RangeReply &reply)
+Base::Milliseconds GrantReclaimer::withJitter(Base::Milliseconds pause)
 {
-    if (!reply.reached)
-        return;
-    for (const auto &row : reply.rows)
-        consider(row);
-    workOnNext();
+    std::uniform_int_distribution<std::int64_t> jitter(0, pause.count() / 4);
+    return pause + Base::Milliseconds(jitter(m_context.random));
+}
+
+void GrantReclaimer::searchMissing()
+{
+    const auto now = m_context.scheduler.now();
+    for (const auto &life : m_lives.missingLives()) {
+        auto &record = m_searched[life];
+        // Who has recorded nothing for the life looks less often the more instances there are.
+        const auto factor = isWitnessOf(life)
+            ? 1
+            : 1 + static_cast<std::int64_t>(m_lives.knownInstances()) / InstancesPerSearch;
+        const bool isDue = now - record.when >= m_policy.reclaimInterval * factor;
+        if (!isDue || record.emptySearches >= EmptySearches)
+            continue;
+        record.when = now;
+        search(GrantRow::holderPrefix(life), life);
+    }
+}
+
+bool GrantReclaimer::isWitnessOf(const Base::InstanceId &life) const
+{
+    const auto prefix = GrantRow::holderPrefix(life);
+    const auto it = m_witness.grants().lower_bound(Base::GrantId(prefix));
+    return it != m_witness.grants().end() && it->first.text().starts_with(prefix);
+}
+
+void GrantReclaimer::search(const std::string &prefix, const std::optional<Base::InstanceId> &life)
+{
+    m_context.table.readRange(prefix, [this, life](const Platform::RangeReply &reply) {
+        if (!reply.reached)
+            return;
+        if (life) {
+            // Only a life that is over stays without grants once it has none.
+            const bool isOver = m_lives.livenessOf(*life) == Liveness::CertainlyDead;
+            auto &searches = m_searched[*life].emptySearches;
+            searches = reply.rows.empty() && isOver ? searches + 1 : 0;
+        }
+        for (const auto &row : reply.rows)
+            consider(row);
+        workOnNext();
+    });
 }
 
 void GrantReclaimer::consider(const Platform::Row &row)
--- a/Libraries/Carawaykeel/Budget/GrantReclaimer.h
+++ b/Libraries/Carawaykeel/Budget/GrantReclaimer.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -52,8 +53,19 @@
     };
     using OperationPointer = std::shared_ptr<Operation>;
 
-    void search();
-    void onGrants(const Platform::RangeReply &reply);
+    /// When a missing life's grants were last looked for.
+    struct SearchRecord
+    {
+        Base::Milliseconds when;
+        int emptySearches = 0;
+    };
+
+    void scheduleSearch();
+    void scheduleSweep();
+    void searchMissing();
+    void search(const std::string &prefix, const std::optional<Base::InstanceId> &life = {});
+    bool isWitnessOf(const Base::InstanceId &life) const;
+    Base::Milliseconds withJitter(Base::Milliseconds pause);
     void consider(const Platform::Row &row);
     void workOnNext();
     void begin(const OperationPointer &operation);
@@ -81,6 +93,8 @@
     std::deque<OperationPointer> m_queue;
     std::set<Base::GrantId> m_queued;
     bool m_isWorking = false;
+    std::map<Base::InstanceId, SearchRecord> m_searched;
+    bool m_hasSwept = false;
     std::uint64_t m_reclaimed = 0;
     std::uint64_t m_writtenOff = 0;
 };
--- a/Libraries/Carawaykeel/Budget/GrantReturner.cpp
+++ b/Libraries/Carawaykeel/Budget/GrantReturner.cpp
@@ -35,7 +35,8 @@
     if (grant->isWriting)
         return answer(false);
     const auto excess = std::max(Base::Tokens(), grant->unreserved() - keep);
-    if (excess == Base::Tokens() && !isCloseable(*grant))
+    const bool isUnderWay = grant->returning > Base::Tokens();
+    if (excess == Base::Tokens() && !isUnderWay && !isCloseable(*grant))
         return answer(true);
     grant->returning += excess;
     grant->isWriting = true;
--- a/Libraries/Carawaykeel/Budget/LifeOracle.h
+++ b/Libraries/Carawaykeel/Budget/LifeOracle.h
@@ -2,6 +2,9 @@
 
 #include <Carawaykeel/Base/InstanceId.h>
 
+#include <cstddef>
+#include <vector>
+
 namespace Carawaykeel::Budget {
 
 /// What is known of another life of an instance.
@@ -22,6 +25,12 @@
     virtual ~LifeOracle() = default;
 
     virtual Liveness livenessOf(const Base::InstanceId &instance) const = 0;
+
+    /// The lives that are missed now, and those that are over for certain.
+    virtual std::vector<Base::InstanceId> missingLives() const = 0;
+
+    /// Instances that are known, this one among them.
+    virtual std::size_t knownInstances() const = 0;
 };
 
 } // namespace Carawaykeel::Budget
--- a/Libraries/Carawaykeel/Budget/TopUpWriter.cpp
+++ b/Libraries/Carawaykeel/Budget/TopUpWriter.cpp
@@ -73,9 +73,10 @@
         const auto &order = operation->orders[n];
         if (const auto &counted = reply.rows.at(n + 1)) {
             m_counted[operation->budget].insert(order.id);
-            if (Platform::decodeRow<TopUpRow>(counted->value).tokens != order.tokens)
+            if (Platform::decodeRow<TopUpRow>(counted->value).tokens != order.tokens) {
                 return operation->answer(Base::Failure{Base::ErrorKind::VersionConflict,
                     "top-up " + order.id.text() + " was counted with another amount", {}});
+            }
             continue;
         }
         books.toppedUp += order.tokens;
--- a/Libraries/Carawaykeel/Configuration/BlankComments.cpp
+++ b/Libraries/Carawaykeel/Configuration/BlankComments.cpp
@@ -10,10 +10,11 @@
 std::size_t endOfText(std::string_view document, std::size_t n)
 {
     for (++n; n < document.size(); ++n) {
-        if (document[n] == '\\')
+        if (document[n] == '\\') {
             ++n;
-        else if (document[n] == '"')
+        } else if (document[n] == '"') {
             return n + 1;
+        }
     }
     return document.size();
 }
--- a/Libraries/Carawaykeel/Configuration/ConfigurationKeeper.cpp
+++ b/Libraries/Carawaykeel/Configuration/ConfigurationKeeper.cpp
@@ -141,10 +141,11 @@
 
 void ConfigurationKeeper::onVersion(const Base::InstanceId &from, std::uint64_t version)
 {
-    if (version > m_version)
+    if (version > m_version) {
         m_context.peers.send(from, Peer::FetchConfiguration{m_version});
-    else if (version < m_version)
+    } else if (version < m_version) {
         m_context.peers.send(from, Peer::OfferConfiguration{m_version});
+    }
 }
 
 void ConfigurationKeeper::onFetch(
--- a/Libraries/Carawaykeel/Configuration/DeclarationParser.cpp
+++ b/Libraries/Carawaykeel/Configuration/DeclarationParser.cpp
@@ -89,21 +89,24 @@
         team.id = Base::TeamId(reader.requireName("id"));
         m_teams.note(reader, "id", team.id.text());
         team.budget = Base::BudgetId(reader.requireName("budget"));
-        if (!m_budgets.contains(team.budget.text()))
+        if (!m_budgets.contains(team.budget.text())) {
             reader.addFault(
                 "budget", "the id of a declared budget, not \"" + team.budget.text() + "\"");
+        }
         for (const auto &digest : reader.optionalTexts("key_sha256")) {
             const bool isDigest = digest.size() == DigestLength
                 && digest.find_first_not_of("0123456789abcdef") == std::string::npos;
-            if (!isDigest)
+            if (!isDigest) {
                 reader.addFault("key_sha256", "64 hexadecimal digits in lower case");
-            else if (!m_keys.insert(digest).second)
+            } else if (!m_keys.insert(digest).second) {
                 reader.addFault("key_sha256", "a key that only one team has");
+            }
             team.keyDigests.push_back(digest);
         }
-        if (reader.has("priority"))
+        if (reader.has("priority")) {
             team.priority =
                 static_cast<Routing::Priority>(reader.requireWord("priority", PriorityWords));
+        }
         reader.finish();
         m_declaration.teams.push_back(std::move(team));
     }
@@ -182,9 +185,10 @@
     void readLeaving(ObjectReader &rules)
     {
         for (const auto &name : rules.optionalTexts("leaving")) {
-            if (!m_servers.contains(name))
+            if (!m_servers.contains(name)) {
                 rules.addFault(
                     "leaving", "names of servers in the inventory, not \"" + name + "\"");
+            }
             m_declaration.leaving.emplace_back(name);
         }
     }
--- a/Libraries/Carawaykeel/Configuration/ObjectReader.cpp
+++ b/Libraries/Carawaykeel/Configuration/ObjectReader.cpp
@@ -205,13 +205,14 @@
         addFault(key, "a list of texts");
         return texts;
     }
-    const auto array = value.extract<Poco::JSON::Array::Ptr>();
+    const auto &array = value.extract<Poco::JSON::Array::Ptr>();
     for (std::size_t n = 0; n < array->size(); ++n) {
         const auto item = array->get(static_cast<unsigned>(n));
-        if (item.isString())
+        if (item.isString()) {
             texts.push_back(item.extract<std::string>());
-        else
+        } else {
             addFault(fmt::format("{}[{}]", key, n), "a text");
+        }
     }
     return texts;
 }
@@ -252,14 +253,15 @@
         addFault(key, "a list of objects");
         return objects;
     }
-    const auto array = value.extract<Poco::JSON::Array::Ptr>();
+    const auto &array = value.extract<Poco::JSON::Array::Ptr>();
     for (std::size_t n = 0; n < array->size(); ++n) {
         const auto item = array->get(static_cast<unsigned>(n));
         const auto path = fmt::format("{}[{}]", pathOf(key), n);
-        if (item.type() == typeid(Poco::JSON::Object::Ptr))
+        if (item.type() == typeid(Poco::JSON::Object::Ptr)) {
             objects.emplace_back(item.extract<Poco::JSON::Object::Ptr>(), path, *m_faults);
-        else
+        } else {
             m_faults->push_back({path, "an object"});
+        }
     }
     return objects;
 }
--- a/Libraries/Carawaykeel/Control/ControlTool.cpp
+++ b/Libraries/Carawaykeel/Control/ControlTool.cpp
@@ -88,12 +88,13 @@
     object.set("teams", declaration.teams.size());
     object.set("services", declaration.services.size());
     object.set("entry_vms", declaration.entryVms.size());
-    if (m_options.isJson)
+    if (m_options.isJson) {
         fmt::print("{}\n", Adapters::toText(object));
-    else
+    } else {
         fmt::print("{}: holds: {} budgets, {} teams, {} services, {} entry VMs\n", folder,
             declaration.budgets.size(), declaration.teams.size(), declaration.services.size(),
             declaration.entryVms.size());
+    }
     return ExitCode::Ok;
 }
 
@@ -123,10 +124,11 @@
     body.set("base_version", baseVersion);
     body.set("operation", operation);
     BOOST_LEAF_AUTO(answer, client.tryPost("/admin/configuration", body));
-    if (m_options.isJson)
+    if (m_options.isJson) {
         fmt::print("{}\n", Adapters::toText(*answer));
-    else
+    } else {
         fmt::print("version {} accepted\n", answer->getValue<Poco::UInt64>("version"));
+    }
     return ExitCode::Ok;
 }
 
@@ -159,9 +161,10 @@
         if (running.contains(vm.name.text()))
             continue;
         missing.add(vm.name.text());
-        if (!m_options.isJson)
+        if (!m_options.isJson) {
             fmt::print(
                 "{:<16} {:<8} declared, not running\n", vm.name.text(), vm.dataCentre.text());
+        }
     }
     if (m_options.isJson) {
         Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
@@ -189,11 +192,12 @@
     body.set("id", id);
     body.set("tokens", tokens);
     BOOST_LEAF_AUTO(answer, client.tryPost("/admin/top-up", body));
-    if (m_options.isJson)
+    if (m_options.isJson) {
         fmt::print("{}\n", Adapters::toText(*answer));
-    else
+    } else {
         fmt::print("budget {} has been topped up to {} tokens in all\n", budget,
             answer->getValue<Poco::Int64>("topped_up"));
+    }
     return ExitCode::Ok;
 }
 
--- a/Libraries/Carawaykeel/Control/DeclarationTree.cpp
+++ b/Libraries/Carawaykeel/Control/DeclarationTree.cpp
@@ -18,9 +18,10 @@
 Base::Result<std::string> tryReadFile(const std::string &file)
 {
     std::ifstream stream(file);
-    if (!stream)
+    if (!stream) {
         return Base::fail(Base::ErrorKind::InvalidDeclaration,
             file + ": (document): expected a file that can be read");
+    }
     return std::string{std::istreambuf_iterator<char>(stream), {}};
 }
 
@@ -29,7 +30,7 @@
 {
     if (value.type() != typeid(Poco::JSON::Object::Ptr))
         return std::to_string(n);
-    const auto object = value.extract<Poco::JSON::Object::Ptr>();
+    const auto &object = value.extract<Poco::JSON::Object::Ptr>();
     for (const auto *key : {"id", "name"}) {
         if (object->has(key))
             return object->get(key).toString();
@@ -41,13 +42,13 @@
     const Poco::Dynamic::Var &value)
 {
     if (value.type() == typeid(Poco::JSON::Object::Ptr)) {
-        const auto object = value.extract<Poco::JSON::Object::Ptr>();
+        const auto &object = value.extract<Poco::JSON::Object::Ptr>();
         for (const auto &name : object->getNames())
             flattenInto(flat, path.empty() ? name : path + "." + name, object->get(name));
         return;
     }
     if (value.type() == typeid(Poco::JSON::Array::Ptr)) {
-        const auto array = value.extract<Poco::JSON::Array::Ptr>();
+        const auto &array = value.extract<Poco::JSON::Array::Ptr>();
         for (std::size_t n = 0; n < array->size(); ++n) {
             const auto item = array->get(static_cast<unsigned>(n));
             flattenInto(flat, fmt::format("{}[{}]", path, elementName(item, n)), item);
@@ -66,9 +67,10 @@
     DeclarationTree tree;
     tree.document = "{\"rules\":\n" + rules + "\n,\"inventory\":\n" + inventory + "\n}";
     tree.parsed = Configuration::parseDeclaration(tree.document);
-    if (!tree.parsed.faults.empty())
+    if (!tree.parsed.faults.empty()) {
         return Base::fail(Base::ErrorKind::InvalidDeclaration,
             Configuration::describeFaults(tree.parsed.faults, folder));
+    }
     return tree;
 }
 
--- a/Libraries/Carawaykeel/Control/OperatorClient.cpp
+++ b/Libraries/Carawaykeel/Control/OperatorClient.cpp
@@ -70,9 +70,10 @@
     if (status == Poco::Net::HTTPResponse::HTTP_OK)
         return object;
     const auto error = object->getObject("error");
-    if (error.isNull())
+    if (error.isNull()) {
         return Base::fail(
             Base::ErrorKind::InstanceUnreachable, m_address + ": status " + std::to_string(status));
+    }
     return Base::fail(kindNamed(error->optValue<std::string>("kind", "")),
         error->optValue<std::string>("message", ""));
 }
--- a/Libraries/Carawaykeel/Instance/Instance.cpp
+++ b/Libraries/Carawaykeel/Instance/Instance.cpp
@@ -85,7 +85,8 @@
     Platform::TableService &table, Peer::PeerLink &peers, Membership::GossipLink &gossip,
     Budget::AttemptOracle &attempts, Base::RandomEngine &random, InstanceEvents events)
     : m_settings(std::move(settings))
-    , m_context{m_settings.self.id, scheduler, table, peers, random}
+    , m_circuit(table, scheduler, random)
+    , m_context{m_settings.self.id, scheduler, m_circuit, peers, random}
     , m_events(std::move(events))
     , m_membership(m_settings.self, m_settings.seeds, m_settings.membership, scheduler, random,
           gossip,
@@ -173,13 +174,24 @@
 EntryAnswer Instance::entryFor(const Base::TeamId &team) const
 {
     auto members = m_membership.servingMembers();
-    const auto weight = [&](const Membership::Member &member) {
-        return Routing::rendezvousWeight(std::hash<Base::TeamId>{}(team), member.id.name.text());
-    };
-    std::sort(members.begin(), members.end(),
-        [&](const auto &left, const auto &right) { return weight(left) > weight(right); });
-    members.resize(std::min(members.size(), m_settings.teamSubset));
-    return {std::move(members), m_settings.entryKeepTime};
+    const auto seed = Routing::hashText(team.text());
+    std::sort(members.begin(), members.end(), [&](const auto &left, const auto &right) {
+        return Routing::rendezvousWeight(seed, left.id.name.text())
+            > Routing::rendezvousWeight(seed, right.id.name.text());
+    });
+    // The best of each data centre comes before any second one, so that each data centre holds
+    // tokens of the team when it is cut off; the own one comes first.
+    std::set<Base::DataCentre> covered;
+    std::vector<Membership::Member> chosen;
+    std::vector<Membership::Member> rest;
+    for (auto &member : members)
+        (covered.insert(member.dataCentre).second ? chosen : rest).push_back(std::move(member));
+    const auto &own = m_settings.self.dataCentre;
+    std::stable_partition(
+        chosen.begin(), chosen.end(), [&](const auto &member) { return member.dataCentre == own; });
+    chosen.insert(chosen.end(), rest.begin(), rest.end());
+    chosen.resize(std::min(chosen.size(), m_settings.teamSubset));
+    return {std::move(chosen), m_settings.entryKeepTime};
 }
 
 std::vector<Base::InstanceId> Instance::teamPeers(const Base::TeamId &team) const
--- a/Libraries/Carawaykeel/Instance/Instance.h
+++ b/Libraries/Carawaykeel/Instance/Instance.h
@@ -8,6 +8,7 @@
 #include <Carawaykeel/Instance/InstanceSettings.h>
 #include <Carawaykeel/Membership/Membership.h>
 #include <Carawaykeel/Peer/PeerEnvelope.h>
+#include <Carawaykeel/Platform/CircuitTable.h>
 #include <Carawaykeel/Requests/RequestDesk.h>
 #include <Carawaykeel/Routing/Dispatcher.h>
 
@@ -78,6 +79,7 @@
     std::vector<Base::InstanceId> teamPeers(const Base::TeamId &team) const;
 
     const InstanceSettings m_settings;
+    Platform::CircuitTable m_circuit;
     Base::InstanceContext m_context;
     InstanceEvents m_events;
     Membership::Membership m_membership;
--- a/Libraries/Carawaykeel/Membership/Membership.cpp
+++ b/Libraries/Carawaykeel/Membership/Membership.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr std::size_t EndedLivesKept = 256;
+
 /// True when the news is to replace what is known of the same life.
 bool isNewer(const Member &news, const Member &known)
 {
@@ -204,6 +206,9 @@
 {
     const auto over = known.id;
     known = news;
+    m_endedLives.push_back(over);
+    if (m_endedLives.size() > EndedLivesKept)
+        m_endedLives.pop_front();
     enqueue(news.id.name);
     m_events.onMissed(over);
 }
@@ -368,6 +373,16 @@
     return isMissed ? Budget::Liveness::Suspected : Budget::Liveness::Alive;
 }
 
+std::vector<Base::InstanceId> Membership::missingLives() const
+{
+    std::vector<Base::InstanceId> missing(m_endedLives.begin(), m_endedLives.end());
+    for (const auto &[name, member] : m_members) {
+        if (member.state == MemberState::Missed)
+            missing.push_back(member.id);
+    }
+    return missing;
+}
+
 std::vector<Member> Membership::servingMembers() const
 {
     std::vector<Member> serving;
--- a/Libraries/Carawaykeel/Membership/Membership.h
+++ b/Libraries/Carawaykeel/Membership/Membership.h
@@ -58,6 +58,8 @@
     std::vector<Base::InstanceId> chooseWitnesses() override;
     std::vector<Base::InstanceId> livePeers() override;
     Budget::Liveness livenessOf(const Base::InstanceId &instance) const override;
+    std::vector<Base::InstanceId> missingLives() const override;
+    std::size_t knownInstances() const override { return m_members.size() + 1; }
 
     const Member &self() const { return m_self; }
     const std::map<Base::InstanceName, Member> &members() const { return m_members; }
@@ -115,6 +117,8 @@
     std::deque<ServerNews> m_serverNews;
     std::set<Base::ServerName> m_leavingServers;
     std::set<std::string> m_goneVms;
+    /// Lives that a later one of the same name has replaced, the latest last.
+    std::deque<Base::InstanceId> m_endedLives;
     std::set<std::uint64_t> m_openProbes;
     std::map<std::uint64_t, Relay> m_relays;
     std::uint64_t m_sequence = 0;
--- a/Libraries/Carawaykeel/Peer/SealedCodec.cpp
+++ b/Libraries/Carawaykeel/Peer/SealedCodec.cpp
@@ -41,9 +41,10 @@
 
 Base::Result<std::string_view> SealedCodec::tryOpen(std::string_view bytes) const
 {
-    if (bytes.size() < SealLength)
+    if (bytes.size() < SealLength) {
         return Base::fail(
             Base::ErrorKind::MalformedPeerMessage, "message is shorter than its seal");
+    }
     const auto body = bytes.substr(SealLength);
     if (!isSame(bytes.substr(0, SealLength), sealOf(body)))
         return Base::fail(Base::ErrorKind::WrongKey, "message is not sealed with this fleet's key");
--- a/Libraries/Carawaykeel/Requests/ClaimWriter.cpp
+++ b/Libraries/Carawaykeel/Requests/ClaimWriter.cpp
@@ -92,10 +92,11 @@
 {
     auto left = std::make_shared<std::vector<Pending>>();
     for (auto &pending : *batch) {
-        if (m_context.scheduler.now() >= pending.deadline)
+        if (m_context.scheduler.now() >= pending.deadline) {
             pending.answer(ClaimResult::Unreachable, {});
-        else
+        } else {
             left->push_back(std::move(pending));
+        }
     }
     if (!left->empty())
         m_context.scheduler.schedule(RetryPause, [this, left] { commit(left); });
--- a/Libraries/Carawaykeel/Requests/PeerInquiry.cpp
+++ b/Libraries/Carawaykeel/Requests/PeerInquiry.cpp
@@ -39,10 +39,11 @@
     auto &question = it->second;
     const auto tries = ++question.tries;
     for (const auto &peer : question.peers) {
-        if (question.open.contains(peer.name))
+        if (question.open.contains(peer.name)) {
             m_context.peers.send(peer,
                 Peer::AskRequest{
                     question.key.team, question.key.request, number, question.wantsToRun});
+        }
     }
     m_context.scheduler.schedule(AnswerTimeout, [this, number, tries] { tryAgain(number, tries); });
 }
--- a/Libraries/Carawaykeel/Requests/RequestDesk.cpp
+++ b/Libraries/Carawaykeel/Requests/RequestDesk.cpp
@@ -251,10 +251,11 @@
     // A retry must not get the answer before its bill is safe either.
     auto whenBilled = [this, key = admission.request.key, answer = std::move(completion.answer),
                           whenSafe = std::move(whenSafe)](bool isSafe) mutable {
-        if (answer)
+        if (answer) {
             m_registry.finish(key, std::move(*answer));
-        else
+        } else {
             m_registry.markUncertain(key);
+        }
         whenSafe(isSafe);
     };
     if (!admission.reservation)
--- a/Libraries/Carawaykeel/Routing/Dispatcher.cpp
+++ b/Libraries/Carawaykeel/Routing/Dispatcher.cpp
@@ -141,9 +141,10 @@
     const auto wait = service.limiter.waitFor(waiting.request.tokens, minuteReserve(priority), now);
     if (now + wait > waiting.request.deadline)
         return fail(waiting, Base::ErrorKind::MinuteCeiling, "the supplier's minute is full", wait);
-    if (service.queued >= m_policy.queueLimit && !shedBelow(service, priority))
+    if (service.queued >= m_policy.queueLimit && !shedBelow(service, priority)) {
         return fail(
             waiting, Base::ErrorKind::QueueFull, "too many requests wait already", RetryHint);
+    }
     ++m_counters.queued;
     ++service.queued;
     const auto ticket = waiting.ticket;
--- a/Libraries/Carawaykeel/Routing/ServerChooser.cpp
+++ b/Libraries/Carawaykeel/Routing/ServerChooser.cpp
@@ -39,6 +39,11 @@
 
 } // namespace
 
+std::uint64_t hashText(std::string_view text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
+
 std::uint64_t rendezvousWeight(std::uint64_t prefixHash, std::string_view name)
 {
     return XXH3_64bits_withSeed(name.data(), name.size(), prefixHash);
--- a/Libraries/Carawaykeel/Routing/ServerChooser.h
+++ b/Libraries/Carawaykeel/Routing/ServerChooser.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string_view>
 
 namespace Carawaykeel::Routing {
 
@@ -28,6 +29,9 @@
 /// Own requests and the reported load, which counts less the older it is, as a share of capacity.
 double loadOf(const ServerState &server, const RoutingPolicy &policy, Base::Milliseconds now);
 
+/// A hash that is the same in every process.
+std::uint64_t hashText(std::string_view text);
+
 /// The weight that rendezvous hashing gives to a server for a prefix; the greatest wins.
 std::uint64_t rendezvousWeight(std::uint64_t prefixHash, std::string_view name);
 
--- a/Tests/Fleet/AtMostOnceTest.cpp
+++ b/Tests/Fleet/AtMostOnceTest.cpp
@@ -48,9 +48,10 @@
     faults.run(Span, [&](int n) {
         auto key = fmt::format("booking-{}", ++bookings);
         // Half of them use an id that the instance handed out.
-        if (bookings % 2 == 0)
+        if (bookings % 2 == 0) {
             key =
                 fleet.at(n).decisions().mint().mint(Base::TeamId("team"), fleet.world.now()).text();
+        }
         bookEverywhere(fleet, n, key);
     });
     fleet.settleAndHandBack();
--- a/Tests/Fleet/ConfigurationTest.cpp
+++ b/Tests/Fleet/ConfigurationTest.cpp
@@ -62,9 +62,10 @@
                 throw std::runtime_error(life.name.text() + " went back");
             seen = configuration.version();
             const auto it = m_accepted.find(seen);
-            if (it != m_accepted.end() && configuration.document() != m_documents.at(it->second))
+            if (it != m_accepted.end() && configuration.document() != m_documents.at(it->second)) {
                 throw std::runtime_error(
                     fmt::format("{} has another version {}", life.name.text(), seen));
+            }
         }
     }
 
@@ -75,9 +76,10 @@
     void accept(std::uint64_t version, const std::string &operation)
     {
         const auto [it, isNew] = m_accepted.emplace(version, operation);
-        if (!isNew && it->second != operation)
+        if (!isNew && it->second != operation) {
             throw std::runtime_error(
                 fmt::format("version {} was promised to two operators", version));
+        }
     }
 
     VirtualFleet &m_fleet;
@@ -127,9 +129,10 @@
 
     static void requireVersion(VirtualFleet &fleet, std::uint64_t version)
     {
-        for (int n = 0; n < fleet.count(); ++n)
+        for (int n = 0; n < fleet.count(); ++n) {
             CPPUNIT_ASSERT_EQUAL_MESSAGE(VirtualFleet::nameOf(n), version,
                 fleet.at(n).decisions().configuration().version());
+        }
     }
 
 public:
--- a/Tests/StandIns/EngineStandIn.cpp
+++ b/Tests/StandIns/EngineStandIn.cpp
@@ -148,10 +148,11 @@
         if (mode == "refuse")
             return answer(response, 503, Poco::JSON::Object());
         std::string prompt;
-        for (const auto &message : *body->getArray("messages"))
+        for (const auto &message : *body->getArray("messages")) {
             prompt +=
                 message.extract<Poco::JSON::Object::Ptr>()->optValue<std::string>("content", "")
                 + " ";
+        }
         const auto promptTokens = countWords(prompt);
         const auto limit = body->optValue("max_tokens", m_answerTokens);
         const auto count = std::min(limit, m_answerTokens);
@@ -160,10 +161,11 @@
         response.set("X-Attempt-Id", mode == "crossed" ? "someone-else" : id);
         response.set("X-Load", fmt::format("{:.3f}", std::min(1.0, m_running / 32.0)));
         ++m_running;
-        if (body->optValue("stream", false))
+        if (body->optValue("stream", false)) {
             stream(id, mode, prompt, promptTokens, count, response);
-        else
+        } else {
             whole(id, mode, prompt, promptTokens, count, response);
+        }
         --m_running;
     }
 
--- a/Tests/StandIns/PlatformStandIn.cpp
+++ b/Tests/StandIns/PlatformStandIn.cpp
@@ -144,10 +144,11 @@
             for (std::size_t n = 0; n < writes->size(); ++n) {
                 const auto write = writes->getObject(static_cast<unsigned>(n));
                 const auto key = write->getValue<std::string>("key");
-                if (write->isNull("value"))
+                if (write->isNull("value")) {
                     m_rows.erase(key);
-                else
+                } else {
                     m_rows[key] = {write->getValue<std::string>("value"), version};
+                }
             }
             object.set("version", version);
             isLost = m_losesAnswers;
--- a/Tests/Support/FakeNetwork.cpp
+++ b/Tests/Support/FakeNetwork.cpp
@@ -5,10 +5,11 @@
 void FakeNetwork::setCut(const std::string &left, const std::string &right, bool isCut)
 {
     for (const auto &way : {std::pair(left, right), std::pair(right, left)}) {
-        if (isCut)
+        if (isCut) {
             m_cuts.insert(way);
-        else
+        } else {
             m_cuts.erase(way);
+        }
     }
 }
 
--- a/Tests/Support/FakeTable.cpp
+++ b/Tests/Support/FakeTable.cpp
@@ -36,10 +36,11 @@
         const bool isOwnBill =
             mutation == Mutation::BillsOfTheirOwn && write.key.starts_with("bill/");
         const auto key = isOwnBill ? write.key + "#" + std::to_string(m_version) : write.key;
-        if (write.value)
+        if (write.value) {
             m_rows[key] = {key, *write.value, m_version};
-        else
+        } else {
             m_rows.erase(write.key);
+        }
     }
     return {Platform::CommitOutcome::Committed, m_version};
 }
--- a/Tests/Support/VirtualFleet.cpp
+++ b/Tests/Support/VirtualFleet.cpp
@@ -23,6 +23,23 @@
 
 std::string makeDeclaration(Base::Tokens budget, int entryVms)
 {
+    auto document = makeDeclaration(std::vector<std::string>{"budget"}, budget, entryVms);
+    const std::string own = R"({"id":"budget","budget":"budget"})";
+    document.replace(document.find(own), own.size(), R"({"id":"team","budget":"budget"})");
+    return document;
+}
+
+std::string makeDeclaration(
+    const std::vector<std::string> &teams, Base::Tokens eachBudget, int entryVms)
+{
+    std::string budgets;
+    std::string owners;
+    for (const auto &team : teams) {
+        const auto *comma = budgets.empty() ? "" : ",";
+        budgets += fmt::format(R"({}{{"id":"{}","top_ups":[{{"id":"first","tokens":{}}}]}})", comma,
+            team, eachBudget.count());
+        owners += fmt::format(R"({}{{"id":"{}","budget":"{}"}})", comma, team, team);
+    }
     std::string vms;
     for (int n = 0; n < entryVms; ++n)
         vms += fmt::format(R"({{"name":"{}","role":"entry","data_centre":"{}"}},)",
@@ -36,12 +53,10 @@
             n, n + 1);
     }
     vms.pop_back();
-    return fmt::format(
-        R"({{"rules":{{"budgets":[{{"id":"budget","top_ups":[{{"id":"first","tokens":{}}}]}}],
-        "teams":[{{"id":"team","budget":"budget"}}],
+    return fmt::format(R"({{"rules":{{"budgets":[{}],"teams":[{}],
         "services":[{{"name":"models","kind":"models","models":["m"],"capacity_per_server":1000,"keeps_attempts":true}},
         {{"name":"plain","kind":"plain","tokens_per_request":1,"capacity_per_server":1000}}]}},"inventory":{{"vms":[{}]}}}})",
-        budget.count(), vms);
+        budgets, owners, vms);
 }
 
 VirtualFleet::VirtualFleet(std::uint64_t seed, int instances)
@@ -55,7 +70,12 @@
 
 void VirtualFleet::start(Base::Tokens budget)
 {
-    declaration = makeDeclaration(budget, m_count);
+    startWith(makeDeclaration(budget, m_count));
+}
+
+void VirtualFleet::startWith(std::string document)
+{
+    declaration = std::move(document);
     Platform::Transaction transaction;
     transaction.put(Configuration::ConfigurationRow::rowKey(),
         Platform::encodeRow(
@@ -105,7 +125,9 @@
         ? Base::RequestId(shape.key)
         : decisions.mint().mint(description.key.team, world.now());
     answer->request = description.key;
-    m_answers.push_back(answer);
+    answer->askedAt = world.now();
+    if (keepsAnswers)
+        m_answers.push_back(answer);
     description.isIdempotent = shape.isIdempotent;
     description.budget = Base::BudgetId(shape.budget);
     description.service = Base::ServiceName(shape.service);
@@ -113,6 +135,7 @@
     description.least = shape.worstCase;
     decisions.requests().admit(
         description, [this, name, shape, answer](Base::Outcome<Requests::Admission> outcome) {
+            answer->decidedAt = world.now();
             if (const auto *failure = std::get_if<Base::Failure>(&outcome)) {
                 answer->isOver = true;
                 answer->kind = failure->kind;
@@ -123,6 +146,7 @@
                 answer->isOver = answer->isWhole = answer->isReplay = true;
                 return;
             }
+            answer->isAdmitted = true;
             // The caller's thread sends a moment after the decision, and may be paused in between.
             m_instances.at(name)->schedule(
                 Base::Milliseconds(1), [this, name, admission, shape, answer] {
@@ -185,7 +209,7 @@
             startInstance(n);
         at(n).thaw();
     }
-    run(30'000);
+    run(90'000);
     for (int n = 0; n < m_count; ++n)
         at(n).decisions().budgets().handBack([](bool) {});
     run(30'000);
@@ -212,9 +236,10 @@
 {
     const auto produced = engines.produced(Base::BudgetId("budget"));
     const auto row = table.find(BudgetPrefix + "budget");
-    if (!row)
+    if (!row) {
         return require(
             produced == Base::Tokens(), "tokens were produced before the budget was topped up");
+    }
     // Decoding is dear, so the books are looked at only when the oracle has something to say.
     static thread_local std::string known;
     static thread_local Base::Tokens toppedUp;
@@ -284,9 +309,10 @@
         auto &isAllRefused = refused.try_emplace(answer->request, true).first->second;
         isAllRefused = isAllRefused && isRefusal;
     }
-    for (const auto &[key, isAllRefused] : refused)
+    for (const auto &[key, isAllRefused] : refused) {
         require(!isAllRefused || engines.runsOf(key) == 0,
             "told not run, but run: " + key.request.text());
+    }
 }
 
 void VirtualFleet::checkRunsAtMostOnce() const
--- a/Tests/Support/VirtualFleet.h
+++ b/Tests/Support/VirtualFleet.h
@@ -15,6 +15,10 @@
     Requests::RequestKey request;
     bool isOver = false;
     bool isWhole = false;
+    bool isAdmitted = false;
+    Base::Milliseconds askedAt;
+    /// When the leave to dispatch came, or the refusal.
+    Base::Milliseconds decidedAt;
     bool isReplay = false;
     /// The kind, when it was a refusal.
     Base::ErrorKind kind = Base::ErrorKind::Internal;
@@ -49,6 +53,9 @@
     /// declaration is in force.
     void start(Base::Tokens budget);
 
+    /// The same with a document of one's own.
+    void startWith(std::string document);
+
     void startInstance(int n);
     void kill(int n);
     bool isUp(int n) const { return m_instances.contains(nameOf(n)); }
@@ -88,6 +95,8 @@
     FakeNetwork network;
     FakeEngines engines;
     std::string declaration;
+    /// False where a run is too long to keep every answer for checks at the end.
+    bool keepsAnswers = true;
     /// Set before the start.
     Mutation mutation = Mutation::None;
 
@@ -105,4 +114,8 @@
 /// A declaration with one team, one budget, a service of models and a plain one.
 std::string makeDeclaration(Base::Tokens budget, int entryVms);
 
+/// The same with several teams, each with a budget of its own name.
+std::string makeDeclaration(
+    const std::vector<std::string> &teams, Base::Tokens eachBudget, int entryVms);
+
 } // namespace Carawaykeel::Tests
--- a/Tests/Support/VirtualInstance.cpp
+++ b/Tests/Support/VirtualInstance.cpp
@@ -54,10 +54,11 @@
 
 void VirtualInstance::runOrHold(std::function<void()> task)
 {
-    if (m_isFrozen)
+    if (m_isFrozen) {
         m_held.push_back(std::move(task));
-    else
+    } else {
         task();
+    }
 }
 
 void VirtualInstance::thaw()
