Budget: Record a dead holder's second run as borne by the house

Cause: the demonstration, with entry-4 killed under load, ended with "grant/entry-4.../1:39 produced 7, billed -1": the caller had retried under its key elsewhere and that run was billed; the reclaimer took the bill it found for the first run's own and wrote nothing of the 7 tokens.

Change: the reclaimer tells its own bill from another run's, asks the engines, and writes a house row as the flusher does. Both now use Bill::houseRowKey and Bill::isSameRun. RetryTest checks that all that back ends produced stands in a bill or a house row.

--- a/Benchmarks/Load/LoadReport.cpp
+++ b/Benchmarks/Load/LoadReport.cpp
@@ -43,7 +43,8 @@
 std::map<std::string, T> readRows(const std::string &platform, const std::string &prefix)
 {
     std::map<std::string, T> rows;
-    for (const auto &item : *get(platform, "/table/range?prefix=" + prefix)->getArray("rows")) {
+    const auto reply = get(platform, "/table/range?prefix=" + prefix);
+    for (const auto &item : *reply->getArray("rows")) {
         const auto row = item.extract<Poco::JSON::Object::Ptr>();
         rows.emplace(row->getValue<std::string>("key"),
             Platform::decodeRow<T>(row->getValue<std::string>("value")));
--- a/Libraries/Carawaykeel/Billing/Bill.h
+++ b/Libraries/Carawaykeel/Billing/Bill.h
@@ -23,6 +23,17 @@
 
     std::string rowKey() const { return "bill/" + team.text() + "/" + request.text(); }
 
+    /// The key of the row that records a second run of a request, which the house bears.
+    std::string houseRowKey() const
+    {
+        return "house/" + grant.text() + "/" + std::to_string(reservation);
+    }
+
+    bool isSameRun(const Bill &other) const
+    {
+        return grant == other.grant && reservation == other.reservation;
+    }
+
     template <class Archive>
     void serialize(Archive &archive)
     {
--- a/Libraries/Carawaykeel/Budget/BillFlusher.cpp
+++ b/Libraries/Carawaykeel/Budget/BillFlusher.cpp
@@ -7,21 +7,6 @@
 
 namespace Carawaykeel::Budget {
 
-namespace {
-
-/// The row that records tokens of a second run of a request, which the house bears.
-std::string houseKey(const Billing::Bill &bill)
-{
-    return "house/" + bill.grant.text() + "/" + std::to_string(bill.reservation);
-}
-
-bool isSameRun(const Billing::Bill &left, const Billing::Bill &right)
-{
-    return left.grant == right.grant && left.reservation == right.reservation;
-}
-
-} // namespace
-
 BillFlusher::BillFlusher(
     Base::InstanceContext &context, const BudgetPolicy &policy, GrantBook &book)
     : m_context(context)
@@ -82,8 +67,8 @@
                 continue;
             hasNews = true;
             if (entry.isBorneByHouse) {
-                transaction.put(
-                    houseKey(entry.bill), Platform::encodeRow(entry.bill), Platform::AbsentVersion);
+                transaction.put(entry.bill.houseRowKey(), Platform::encodeRow(entry.bill),
+                    Platform::AbsentVersion);
                 continue;
             }
             row.settled += entry.bill.tokens;
@@ -112,7 +97,7 @@
         keys.push_back(id.text());
     for (const auto &entry : batch->entries) {
         keys.push_back(entry.bill.rowKey());
-        keys.push_back(houseKey(entry.bill));
+        keys.push_back(entry.bill.houseRowKey());
     }
     m_context.table.readRows(std::move(keys), [this, batch](const Platform::RowsReply &reply) {
         if (!reply.reached) {
@@ -149,7 +134,7 @@
         if (entry.isWritten)
             continue;
         const bool isOurs =
-            bill && isSameRun(Platform::decodeRow<Billing::Bill>(bill->value), entry.bill);
+            bill && Platform::decodeRow<Billing::Bill>(bill->value).isSameRun(entry.bill);
         if (isOurs || house) {
             entry.isWritten = true;
             confirmEntry(entry);
--- a/Libraries/Carawaykeel/Budget/GrantReclaimer.cpp
+++ b/Libraries/Carawaykeel/Budget/GrantReclaimer.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::string_view GrantPrefix = "grant/";
 constexpr std::size_t FixedRows = 2;
+constexpr std::size_t RowsPerReservation = 2;
 constexpr int Tries = 8;
 /// Searches without a find after which a life that is over is left to the sweeps.
 constexpr int EmptySearches = 3;
@@ -188,8 +189,9 @@
     std::vector<std::uint64_t> asked;
     for (const auto &[number, reservation] : m_witness.fence(operation->id).open) {
         asked.push_back(number);
-        keys.push_back(
-            Billing::Bill{reservation.team, reservation.request, {}, {}, 0, {}, false}.rowKey());
+        const auto bill = billFor(*operation, number, reservation, Base::Tokens());
+        keys.push_back(bill.rowKey());
+        keys.push_back(bill.houseRowKey());
     }
     m_context.table.readRows(
         std::move(keys), [this, operation, reports, asked](const Platform::RowsReply &reply) {
@@ -218,16 +220,25 @@
         const auto it = grant.open.find(asked[n]);
         if (it == grant.open.end())
             continue;
-        const bool isBilled = reply.rows.at(n + FixedRows).has_value();
-        if (!isBilled && !it->second.bill) {
-            unsettled.push_back(asked[n]);
+        const auto &present = reply.rows.at(FixedRows + n * RowsPerReservation);
+        const auto &house = reply.rows.at(FixedRows + n * RowsPerReservation + 1);
+        const auto own = billFor(operation, asked[n], it->second, Base::Tokens());
+        const bool isOwn =
+            present && Platform::decodeRow<Billing::Bill>(present->value).isSameRun(own);
+        if (isOwn || house) {
+            operation.finished.push_back(asked[n]);
+            continue;
+        }
+        if (present) {
+            bearByHouse(operation, asked[n], it->second, reports);
             continue;
         }
-        // A bill that is there is the holder's, or another run's; then the house bears this one.
-        if (!isBilled) {
-            operation.bills.push_back(*it->second.bill);
-            left -= it->second.bill->tokens;
+        if (!it->second.bill) {
+            unsettled.push_back(asked[n]);
+            continue;
         }
+        operation.bills.push_back(*it->second.bill);
+        left -= it->second.bill->tokens;
         operation.finished.push_back(asked[n]);
     }
     for (const auto number : unsettled) {
@@ -239,20 +250,53 @@
     }
 }
 
+Billing::Bill GrantReclaimer::billFor(const Operation &operation, std::uint64_t number,
+    const WitnessedReservation &reservation, Base::Tokens tokens)
+{
+    return {reservation.team, reservation.request, reservation.budget, operation.id, number, tokens,
+        true};
+}
+
+void GrantReclaimer::bearByHouse(Operation &operation, std::uint64_t number,
+    const WitnessedReservation &reservation, const Reports &reports)
+{
+    // Another run of the request was billed. This one's tokens go back to the budget, and a row of
+    // its own says what the house bears.
+    const auto report = reports.find(number);
+    if (!reservation.bill && report == reports.end())
+        return;
+    const auto tokens =
+        reservation.bill ? reservation.bill->tokens : tokensOf(report->second, reservation);
+    operation.finished.push_back(number);
+    if (tokens > Base::Tokens())
+        operation.house.push_back(billFor(operation, number, reservation, tokens));
+}
+
+Base::Tokens GrantReclaimer::tokensOf(
+    const AttemptReport &report, const WitnessedReservation &reservation)
+{
+    switch (report.knowledge) {
+    case AttemptKnowledge::NeverSeen:
+        return {};
+    case AttemptKnowledge::Finished:
+        return std::min(report.tokens, reservation.tokens);
+    case AttemptKnowledge::Unknown:
+        break;
+    }
+    return reservation.tokens;
+}
+
 void GrantReclaimer::estimate(
     Operation &operation, std::uint64_t number, const AttemptReport &report, Base::Tokens &left)
 {
     if (report.knowledge == AttemptKnowledge::NeverSeen)
         return;
     const auto &reservation = m_witness.fence(operation.id).open.at(number);
-    const bool isKnown = report.knowledge == AttemptKnowledge::Finished;
-    const auto most = isKnown ? std::min(report.tokens, reservation.tokens) : reservation.tokens;
     // The holder may have settled it for less and returned the rest, and its word been lost on the
     // way here; so no more is billed than the grant still has.
-    const auto tokens = std::min(most, left);
+    const auto tokens = std::min(tokensOf(report, reservation), left);
     left -= tokens;
-    operation.bills.push_back({reservation.team, reservation.request, reservation.budget,
-        operation.id, number, tokens, true});
+    operation.bills.push_back(billFor(operation, number, reservation, tokens));
 }
 
 void GrantReclaimer::commit(const OperationPointer &operation, const Platform::Row &budget)
@@ -264,6 +308,8 @@
         row.settled += bill.tokens;
         transaction.put(bill.rowKey(), Platform::encodeRow(bill), Platform::AbsentVersion);
     }
+    for (const auto &bill : operation->house)
+        transaction.put(bill.houseRowKey(), Platform::encodeRow(bill), Platform::AbsentVersion);
     const auto &grant = m_witness.fence(operation->id);
     Base::Tokens stillOpen;
     for (const auto &[number, reservation] : grant.open) {
@@ -274,8 +320,8 @@
     operation->isClosing = grant.open.size() == operation->finished.size();
     const auto amount = std::min(row.amount, row.settled + stillOpen);
     const auto back = row.amount - amount;
-    const bool isNews =
-        back > Base::Tokens() || operation->isClosing || !row.isFenced || !operation->bills.empty();
+    const bool isNews = back > Base::Tokens() || operation->isClosing || !row.isFenced
+        || !operation->bills.empty() || !operation->house.empty();
     if (!isNews)
         return finish(operation);
     books.granted -= back;
@@ -334,6 +380,7 @@
     if (--operation->triesLeft <= 0)
         return finish(operation);
     operation->bills.clear();
+    operation->house.clear();
     operation->finished.clear();
     Base::BackOff backOff(m_policy.smallestBackOff * 2, m_policy.largestBackOff);
     m_context.scheduler.schedule(
--- a/Libraries/Carawaykeel/Budget/GrantReclaimer.h
+++ b/Libraries/Carawaykeel/Budget/GrantReclaimer.h
@@ -45,6 +45,8 @@
         std::uint64_t version = 0;
         /// The bills that this write inserts.
         std::vector<Billing::Bill> bills;
+        /// Second runs that it records as borne by the house.
+        std::vector<Billing::Bill> house;
         /// Reservations that are over once the write has landed.
         std::vector<std::uint64_t> finished;
         bool isClosing = false;
@@ -75,6 +77,12 @@
         const std::vector<std::uint64_t> &asked, const Platform::RowsReply &reply);
     void collectBills(Operation &operation, const Reports &reports,
         const std::vector<std::uint64_t> &asked, const Platform::RowsReply &reply);
+    static Billing::Bill billFor(const Operation &operation, std::uint64_t number,
+        const WitnessedReservation &reservation, Base::Tokens tokens);
+    static Base::Tokens tokensOf(
+        const AttemptReport &report, const WitnessedReservation &reservation);
+    void bearByHouse(Operation &operation, std::uint64_t number,
+        const WitnessedReservation &reservation, const Reports &reports);
     void estimate(Operation &operation, std::uint64_t number, const AttemptReport &report,
         Base::Tokens &left);
     void commit(const OperationPointer &operation, const Platform::Row &budget);
--- a/Tests/Fleet/RetryTest.cpp
+++ b/Tests/Fleet/RetryTest.cpp
@@ -30,6 +30,7 @@
     fleet.settleAndHandBack();
     fleet.checkBooksBalance();
     fleet.checkBillsMatchRuns();
+    fleet.checkWorkIsAccounted();
     fleet.checkRefusalsAreTrue();
 }
 
--- a/Tests/Support/FakeEngines.h
+++ b/Tests/Support/FakeEngines.h
@@ -37,6 +37,9 @@
         return m_reservations.at(key);
     }
 
+    /// Tokens that each reservation's attempts have produced.
+    const std::map<std::string, Base::Tokens> &attempts() const { return m_attempts; }
+
     /// False: the engines cannot be asked about attempts.
     bool keepsAttempts = true;
 
--- a/Tests/Support/VirtualFleet.cpp
+++ b/Tests/Support/VirtualFleet.cpp
@@ -300,6 +300,24 @@
     }
 }
 
+void VirtualFleet::checkWorkIsAccounted() const
+{
+    std::map<std::string, Base::Tokens> accounted;
+    for (const auto *prefix : {"bill/", "house/"}) {
+        for (const auto &row : table.range(prefix)) {
+            const auto bill = Platform::decodeRow<Billing::Bill>(row.value);
+            accounted[fmt::format("{}:{}", bill.grant.text(), bill.reservation)] += bill.tokens;
+        }
+    }
+    for (const auto &[reservation, tokens] : engines.attempts()) {
+        const bool isLost =
+            table.find("loss/" + reservation.substr(0, reservation.rfind(':'))).has_value();
+        require(isLost || accounted[reservation] >= tokens,
+            fmt::format("{} produced {} tokens, {} are accounted for", reservation, tokens.count(),
+                accounted[reservation].count()));
+    }
+}
+
 void VirtualFleet::checkRefusalsAreTrue() const
 {
     std::map<Requests::RequestKey, bool> refused;
--- a/Tests/Support/VirtualFleet.h
+++ b/Tests/Support/VirtualFleet.h
@@ -81,6 +81,9 @@
     void checkBooksBalance() const;
     void checkBillsMatchRuns(bool allowsMissing = false) const;
 
+    /// What back ends produced stands in a bill, or in a row of what the house bears.
+    void checkWorkIsAccounted() const;
+
     /// No back end has seen a request whose callers were all told that it was not run.
     void checkRefusalsAreTrue() const;
 
