--- a/Libraries/Carawaykeel/Membership/MembershipPolicy.h
+++ b/Libraries/Carawaykeel/Membership/MembershipPolicy.h
@@ -18,7 +18,7 @@
     /// How long a suspicion may be refuted before the member counts as missed.
     Base::Milliseconds suspicionTimeout{2'000};
     /// News about members in one datagram at most; with the sender this stays below one packet.
-    std::size_t newsPerMessage = 6;
+    std::size_t newsPerMessage = 4;
     /// News about leaving servers in one datagram at most.
     std::size_t serversPerMessage = 8;
     /// Each piece of news is sent this many times the binary logarithm of the members' number.
