--- /dev/null
+++ b/Tests/Peer/SealedCodecTest.cpp
@@ -0,0 +1,69 @@
+#include <Carawaykeel/Membership/GossipMessage.h>
+#include <Carawaykeel/Peer/SealedCodec.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+
+namespace Carawaykeel::Tests {
+
+namespace {
+
+constexpr int Trials = 20'000;
+constexpr unsigned Seed = 5;
+
+template <typename T>
+bool decodes(const Peer::SealedCodec &codec, const std::string &bytes)
+{
+    return std::holds_alternative<T>(Base::toOutcome<T>([&] { return codec.tryDecode<T>(bytes); }));
+}
+
+} // namespace
+
+/// Bytes from outside are taken only with the fleet's key, and never do harm.
+class SealedCodecTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SealedCodecTest);
+    CPPUNIT_TEST(wrongKeyAndChangedBytesAreRefused);
+    CPPUNIT_TEST(damagedBodiesNeverDoHarm);
+    CPPUNIT_TEST_SUITE_END();
+
+    static Peer::PeerEnvelope sample()
+    {
+        return {{Base::InstanceName("a"), 1}, {Base::InstanceName("b"), 2},
+            Peer::ForgetReservations{Base::GrantId("g"), {1, 2, 3}}};
+    }
+
+public:
+    void wrongKeyAndChangedBytesAreRefused()
+    {
+        const Peer::SealedCodec codec("key");
+        auto bytes = codec.encode(sample());
+        CPPUNIT_ASSERT(decodes<Peer::PeerEnvelope>(codec, bytes));
+        CPPUNIT_ASSERT(!decodes<Peer::PeerEnvelope>(Peer::SealedCodec("other"), bytes));
+        bytes.back() = static_cast<char>(bytes.back() ^ 1);
+        CPPUNIT_ASSERT(!decodes<Peer::PeerEnvelope>(codec, bytes));
+        CPPUNIT_ASSERT(!decodes<Peer::PeerEnvelope>(codec, ""));
+    }
+
+    void damagedBodiesNeverDoHarm()
+    {
+        // Below the seal, as one who has the key could send them.
+        const Peer::SealedCodec codec("key");
+        const auto body = codec.encode(sample()).substr(20);
+        std::mt19937 random(Seed);
+        for (int n = 0; n < Trials; ++n) {
+            auto damaged = body.substr(0, random() % (body.size() + 1));
+            for (unsigned flips = random() % 4; flips > 0 && !damaged.empty(); --flips)
+                damaged[random() % damaged.size()] = static_cast<char>(random());
+            Base::toOutcome<Peer::PeerEnvelope>(
+                [&] { return Peer::SealedCodec::tryDecodeBody<Peer::PeerEnvelope>(damaged); });
+            Base::toOutcome<Membership::GossipMessage>([&] {
+                return Peer::SealedCodec::tryDecodeBody<Membership::GossipMessage>(damaged);
+            });
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SealedCodecTest);
+
+} // namespace Carawaykeel::Tests
