--- a/Libraries/Carawaykeel/Adapters/CallerHandler.cpp
+++ b/Libraries/Carawaykeel/Adapters/CallerHandler.cpp
@@ -132,6 +132,14 @@
     return passUp(std::move(outcome));
 }
 
+void CallerHandler::sendReplay(
+    const Requests::StoredAnswer &answer, Poco::Net::HTTPServerResponse &response)
+{
+    ++m_context.metrics.replays;
+    response.set("X-Replayed", "true");
+    sendWhole(response, answer.httpStatus, answer.contentType, answer.body);
+}
+
 Base::Result<CallerHandler::Dispatched> CallerHandler::trySend(
     Requests::Admission admission, BackendCall call, bool keepsAttempts)
 {
--- a/Libraries/Carawaykeel/Adapters/ChatHandler.cpp
+++ b/Libraries/Carawaykeel/Adapters/ChatHandler.cpp
@@ -63,10 +63,7 @@
     response.set("X-Request-Id", description.key.request.text());
     BOOST_LEAF_AUTO(admission, tryAdmit(std::move(description)));
     if (admission.replay) {
-        ++context().metrics.replays;
-        response.set("X-Replayed", "true");
-        sendWhole(response, admission.replay->httpStatus, admission.replay->contentType,
-            admission.replay->body);
+        sendReplay(*admission.replay, response);
         return {};
     }
     const auto reserved = admission.reservation->tokens;
--- a/Libraries/Carawaykeel/Adapters/ServiceHandler.cpp
+++ b/Libraries/Carawaykeel/Adapters/ServiceHandler.cpp
@@ -53,10 +53,7 @@
     response.set("X-Request-Id", description.key.request.text());
     BOOST_LEAF_AUTO(admission, tryAdmit(std::move(description)));
     if (admission.replay) {
-        ++context().metrics.replays;
-        response.set("X-Replayed", "true");
-        sendWhole(response, admission.replay->httpStatus, admission.replay->contentType,
-            admission.replay->body);
+        sendReplay(*admission.replay, response);
         return {};
     }
     BackendCall call{"", request.getMethod(), path.rest, {}, std::move(body), {}, isIdempotent};
