Requests: Let an instance that runs a request outweigh one that lost its answer

Cause: found in reading: of several peers' answers the first that was not Unknown stood, so Uncertain hid a later Running, and an idempotent retry ran a second time (billed once, borne by the house).

Change: PeerInquiry weighs the answers. Meta/build.sh no longer runs a failed build twice.

Seen failing first: PeerInquiryTest; passes after.

--- a/Libraries/Carawaykeel/Requests/PeerInquiry.cpp
+++ b/Libraries/Carawaykeel/Requests/PeerInquiry.cpp
@@ -10,6 +10,24 @@
 constexpr int Tries = 3;
 constexpr Base::Milliseconds PollPause{100};
 
+/// Of two answers the one with the greater weight says more.
+int weightOf(Peer::RequestKnowledge knowledge)
+{
+    switch (knowledge) {
+    case Peer::RequestKnowledge::Finished:
+        return 4;
+    case Peer::RequestKnowledge::Running:
+        return 3;
+    case Peer::RequestKnowledge::MayRun:
+        return 2;
+    case Peer::RequestKnowledge::Uncertain:
+        return 1;
+    case Peer::RequestKnowledge::Unknown:
+        break;
+    }
+    return 0;
+}
+
 } // namespace
 
 PeerInquiry::PeerInquiry(Base::InstanceContext &context)
@@ -64,8 +82,7 @@
     if (it == m_questions.end() || it->second.open.erase(from.name) == 0)
         return;
     auto &question = it->second;
-    const bool isBetter = message.knowledge == Peer::RequestKnowledge::Finished
-        || question.best.knowledge == Peer::RequestKnowledge::Unknown;
+    const bool isBetter = weightOf(message.knowledge) > weightOf(question.best.knowledge);
     if (isBetter) {
         question.best.knowledge = message.knowledge;
         question.best.answer = {message.httpStatus, message.contentType, message.body};
--- a/Meta/build.sh
+++ b/Meta/build.sh
@@ -1,8 +1,11 @@
 #!/usr/bin/env bash
-# Builds into a folder: Meta/build.sh [FOLDER] [CMAKE OPTIONS...]
+# Builds into a folder: Meta/build.sh [FOLDER] [CMAKE OPTIONS...]. What the compiler says is in build.log.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 folder=${1:-Build}
 shift || true
 cmake -S . -B "$folder" "$@" >/dev/null
-cmake --build "$folder" -j "${CARAWAYKEEL_JOBS:-5}" -- -s 2>/dev/null || cmake --build "$folder" -j "${CARAWAYKEEL_JOBS:-5}"
+if ! cmake --build "$folder" -j "${CARAWAYKEEL_JOBS:-5}" >"$folder/build.log" 2>&1; then
+    grep -E 'error|Error' "$folder/build.log" | head -40
+    exit 1
+fi
