--- a/Benchmarks/BaselineSchemes.cpp
+++ b/Benchmarks/BaselineSchemes.cpp
@@ -60,9 +60,10 @@
         std::exponential_distribution<double> gap(m_scenario.requestsPerSecond / 1'000);
         while ((now += gap(m_random)) < static_cast<double>(m_scenario.span.count()))
             take(draw(static_cast<std::int64_t>(now)));
-        for (const auto &pool : m_pools)
+        for (const auto &pool : m_pools) {
             m_figures.overspend +=
                 Base::Tokens(std::max<std::int64_t>(0, pool.produced - pool.toppedUp));
+        }
         m_figures.writesPerSecond =
             static_cast<double>(m_writes) * 1'000 / static_cast<double>(m_scenario.span.count());
         return m_figures;
--- a/Benchmarks/Capacity/main.cpp
+++ b/Benchmarks/Capacity/main.cpp
@@ -131,20 +131,23 @@
 std::string declarationOf(int teams, int budgets, int servers)
 {
     std::string text = R"({"rules":{"budgets":[)";
-    for (int n = 0; n < budgets; ++n)
+    for (int n = 0; n < budgets; ++n) {
         text +=
             fmt::format(R"({}{{"id":"budget-{}","top_ups":[{{"id":"first","tokens":1000000}}]}})",
                 n ? "," : "", n);
+    }
     text += R"(],"teams":[)";
-    for (int n = 0; n < teams; ++n)
+    for (int n = 0; n < teams; ++n) {
         text += fmt::format(R"({}{{"id":"team-{}","budget":"budget-{}","key_sha256":["{:064x}"]}})",
             n ? "," : "", n, n % budgets, n);
+    }
     text +=
         R"(],"services":[{"name":"models","kind":"models","models":["m"]}]},"inventory":{"vms":[)";
-    for (int n = 0; n < servers; ++n)
+    for (int n = 0; n < servers; ++n) {
         text += fmt::format(
             R"({}{{"name":"server-{}","role":"server","service":"models","data_centre":"dc-{}","address":"10.1.{}.{}:8000"}})",
             n ? "," : "", n, n % 5, n / 200, n % 200 + 1);
+    }
     return text + "]}}";
 }
 
@@ -291,13 +294,22 @@
     });
 }
 
+/// One line of the platform's table.
+struct Load
+{
+    int budgets;
+    int requestsPerSecond;
+};
+
 void measurePlatform()
 {
     fmt::print(
         "\n## Platform reads and writes a second, eight instances, two minutes in steady "
         "state\n\n| budgets in use | requests/s | writes/s | reads/s |\n|---|---|---|---|\n");
-    for (const auto &[budgets, rate] : {std::pair(1, 10), std::pair(10, 10), std::pair(100, 10),
-             std::pair(10, 40), std::pair(100, 40)}) {
+    for (const auto &load :
+        {Load{1, 10}, Load{10, 10}, Load{100, 10}, Load{10, 40}, Load{100, 40}}) {
+        const auto budgets = load.budgets;
+        const auto rate = load.requestsPerSecond;
         std::vector<std::string> teams;
         for (int n = 0; n < budgets; ++n)
             teams.push_back(fmt::format("team-{}", n));
--- a/Benchmarks/Load/LoadCaller.cpp
+++ b/Benchmarks/Load/LoadCaller.cpp
@@ -78,10 +78,11 @@
                 || entry->getArray("addresses")->size() == 0)
                 continue;
             m_addresses.clear();
-            for (const auto &item : *entry->getArray("addresses"))
+            for (const auto &item : *entry->getArray("addresses")) {
                 m_addresses.push_back(
                     item.extract<Poco::JSON::Object::Ptr>()->getValue<std::string>("url").substr(
                         std::string("http://").size()));
+            }
             m_mintedIds.clear();
             for (const auto &id : *entry->getArray("request_ids"))
                 m_mintedIds.push_back(id.convert<std::string>());
--- a/Benchmarks/Load/LoadReport.cpp
+++ b/Benchmarks/Load/LoadReport.cpp
@@ -45,7 +45,7 @@
     std::map<std::string, T> rows;
     const auto reply = get(platform, "/table/range?prefix=" + prefix);
     for (const auto &item : *reply->getArray("rows")) {
-        const auto row = item.extract<Poco::JSON::Object::Ptr>();
+        const auto &row = item.extract<Poco::JSON::Object::Ptr>();
         rows.emplace(row->getValue<std::string>("key"),
             Platform::decodeRow<T>(row->getValue<std::string>("value")));
     }
--- a/Benchmarks/Load/main.cpp
+++ b/Benchmarks/Load/main.cpp
@@ -34,9 +34,10 @@
 
     const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(options.seconds);
     std::vector<std::future<std::vector<LoadRecord>>> callers;
-    for (int n = 0; n < options.callers; ++n)
+    for (int n = 0; n < options.callers; ++n) {
         callers.push_back(std::async(std::launch::async,
             [&options, n, until] { return LoadCaller(options, n).run(until); }));
+    }
     std::vector<LoadRecord> records;
     for (auto &caller : callers) {
         const auto own = caller.get();
--- a/Benchmarks/PolicyRun.cpp
+++ b/Benchmarks/PolicyRun.cpp
@@ -61,9 +61,10 @@
         m_figures.writesPerSecond = static_cast<double>(m_fleet.table.writes - writesBefore) * 1'000
             / static_cast<double>(m_scenario.span.count());
         std::sort(m_decisions.begin(), m_decisions.end());
-        if (!m_decisions.empty())
+        if (!m_decisions.empty()) {
             m_figures.decisionMilliseconds = m_decisions.at(
                 static_cast<std::size_t>(NinetyNine * static_cast<double>(m_decisions.size() - 1)));
+        }
         return m_figures;
     }
 
@@ -97,10 +98,11 @@
                 && !m_fleet.at(n).decisions().isShuttingDown())
                 up.push_back(n);
         }
-        if (m_scenario.isHot || up.empty())
+        if (m_scenario.isHot || up.empty()) {
             return up.empty() ? -1
                               : up[static_cast<std::size_t>(
                                   m_fleet.world.draw(0, static_cast<std::int64_t>(up.size()) - 1))];
+        }
         // Whom a caller asks first is as much by chance.
         const auto asked = up[static_cast<std::size_t>(
             m_fleet.world.draw(0, static_cast<std::int64_t>(up.size()) - 1))];
--- a/Libraries/Carawaykeel/Budget/BudgetHolder.cpp
+++ b/Libraries/Carawaykeel/Budget/BudgetHolder.cpp
@@ -501,10 +501,11 @@
         if (grants.empty())
             continue;
         account.nextAhead = now + m_policy.aheadPause;
-        if (m_book.ofBudget(budget).size() >= m_policy.grantsAhead)
+        if (m_book.ofBudget(budget).size() >= m_policy.grantsAhead) {
             mergeSmallest(budget, grants.front().isNear);
-        else
+        } else {
             startAcquiring(budget, {budget, Base::Tokens(), std::move(grants)});
+        }
     }
 }
 
--- a/Libraries/Carawaykeel/Platform/CircuitTable.cpp
+++ b/Libraries/Carawaykeel/Platform/CircuitTable.cpp
@@ -43,9 +43,10 @@
 
 void CircuitTable::readRows(std::vector<std::string> keys, std::function<void(RowsReply)> answer)
 {
-    if (!mayCall())
+    if (!mayCall()) {
         return m_scheduler.schedule(
             Base::Milliseconds(), [answer = std::move(answer)] { answer({}); });
+    }
     m_table.readRows(std::move(keys), [this, answer = std::move(answer)](RowsReply reply) {
         note(reply.reached);
         answer(std::move(reply));
@@ -54,9 +55,10 @@
 
 void CircuitTable::readRange(std::string prefix, std::function<void(RangeReply)> answer)
 {
-    if (!mayCall())
+    if (!mayCall()) {
         return m_scheduler.schedule(
             Base::Milliseconds(), [answer = std::move(answer)] { answer({}); });
+    }
     m_table.readRange(std::move(prefix), [this, answer = std::move(answer)](RangeReply reply) {
         note(reply.reached);
         answer(std::move(reply));
@@ -65,9 +67,10 @@
 
 void CircuitTable::commit(Transaction transaction, std::function<void(CommitReply)> answer)
 {
-    if (!mayCall())
+    if (!mayCall()) {
         return m_scheduler.schedule(
             Base::Milliseconds(), [answer = std::move(answer)] { answer({}); });
+    }
     m_table.commit(std::move(transaction), [this, answer = std::move(answer)](CommitReply reply) {
         note(reply.outcome != CommitOutcome::Unknown);
         answer(reply);
--- a/Tests/Adapters/SettingsParserTest.cpp
+++ b/Tests/Adapters/SettingsParserTest.cpp
@@ -41,9 +41,10 @@
             "platform": { "address": "127.0.0.1:5", "key_env": "CARAWAYKEEL_TEST_KEY", "timeout_ms": 0 } })");
         const auto text = Configuration::describeFaults(parsed.faults, "settings");
         for (const auto *path : {"name", "data_centre", "surprise", "callers.address",
-                 "operators.key_env", "peers.address", "peers.seeds[0]", "platform.timeout_ms"})
+                 "operators.key_env", "peers.address", "peers.seeds[0]", "platform.timeout_ms"}) {
             CPPUNIT_ASSERT_MESSAGE(
                 text, text.find(std::string("settings: ") + path + ":") != std::string::npos);
+        }
         CPPUNIT_ASSERT_EQUAL(std::size_t(8), parsed.faults.size());
     }
 
--- a/Tests/Routing/DispatcherTest.cpp
+++ b/Tests/Routing/DispatcherTest.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(samePrefixGoesToTheSameServer);
     CPPUNIT_TEST_SUITE_END();
 
+public:
     VirtualWorld world{3};
     WorldScheduler scheduler{world};
     Routing::RoutingPolicy policy;
@@ -50,9 +51,10 @@
     {
         Routing::Dispatcher dispatcher(scheduler, world.random(), policy);
         std::vector<Routing::ServerDefinition> definitions;
-        for (int n = 0; n < servers; ++n)
+        for (int n = 0; n < servers; ++n) {
             definitions.push_back({Base::ServerName("server-" + std::to_string(n)), "127.0.0.1:1",
                 Base::DataCentre("dc"), capacity});
+        }
         dispatcher.setService(Service, definitions, ceiling);
         return dispatcher;
     }
@@ -63,7 +65,6 @@
             Service, priority, Base::Tokens(tokens), world.now() + Base::Milliseconds(10'000), {}};
     }
 
-public:
     void highPriorityGoesFirst()
     {
         auto dispatcher = make(1, 1);
