--- a/Tests/Support/VirtualFleet.cpp
+++ b/Tests/Support/VirtualFleet.cpp
@@ -41,9 +41,10 @@
         owners += fmt::format(R"({}{{"id":"{}","budget":"{}"}})", comma, team, team);
     }
     std::string vms;
-    for (int n = 0; n < entryVms; ++n)
+    for (int n = 0; n < entryVms; ++n) {
         vms += fmt::format(R"({{"name":"{}","role":"entry","data_centre":"{}"}},)",
             VirtualFleet::nameOf(n), VirtualFleet::zoneOf(n));
+    }
     for (int n = 0; n < 3; ++n) {
         vms += fmt::format(
             R"({{"name":"engine-{0}","role":"server","service":"models","data_centre":"dc-{0}","address":"127.0.0.{1}:80"}},)",
