--- a/Tests/Support/VirtualFleet.cpp
+++ b/Tests/Support/VirtualFleet.cpp
@@ -210,7 +210,7 @@
             startInstance(n);
         at(n).thaw();
     }
-    run(90'000);
+    run(30'000);
     for (int n = 0; n < m_count; ++n)
         at(n).decisions().budgets().handBack([](bool) {});
     run(30'000);
