Budget: Close a drained instance's allotment at what it said it spent

Cause: an instance that ends while the table is away handed on only what was free at that moment. What its allotment grew by until the successor closed it, up to four seconds later, was lost to the team. Ruled out: handing the growth on as well; the successor does not know the moment and overspends (docs/DESIGN.md). Change: the last message tells three peers what the life has spent in all. Whoever of them reaches the table closes the allotment at exactly that, or corrects the estimate of a closing not older than ten seconds. Chaos now drains instances too.

--- a/Libraries/Carawaykeel/Budget/Allotment.cpp
+++ b/Libraries/Carawaykeel/Budget/Allotment.cpp
@@ -20,6 +20,40 @@
     return limit;
 }
 
+Base::Tokens AllotmentRow::closeByEstimate(
+    const Base::InstanceId &holder, Base::Milliseconds serviceNow)
+{
+    const auto it = std::ranges::find(allotments, holder, &Allotment::holder);
+    if (it == allotments.end())
+        return {};
+    const auto counted = it->limitAt(serviceNow);
+    allotments.erase(it);
+    closed += counted;
+    estimates.push_back({holder, counted, serviceNow});
+    return counted;
+}
+
+void AllotmentRow::closeExactly(const Base::InstanceId &holder, Base::Tokens spent)
+{
+    if (const auto it = std::ranges::find(allotments, holder, &Allotment::holder);
+        it != allotments.end()) {
+        allotments.erase(it);
+        closed += spent;
+    }
+    if (const auto it = std::ranges::find(estimates, holder, &EstimatedClosing::holder);
+        it != estimates.end()) {
+        closed -= std::max(it->counted - spent, Base::Tokens());
+        estimates.erase(it);
+    }
+}
+
+void AllotmentRow::forgetEstimates(Base::Milliseconds serviceNow)
+{
+    std::erase_if(estimates, [&](const EstimatedClosing &closing) {
+        return serviceNow - closing.closedAt > CorrectionTime;
+    });
+}
+
 Base::Tokens AllotmentRow::granted() const
 {
     auto sum = closed;
--- a/Libraries/Carawaykeel/Budget/Allotment.h
+++ b/Libraries/Carawaykeel/Budget/Allotment.h
@@ -41,12 +41,39 @@
 /// The most that may have been spent in all while any of several reports may be the one in force.
 Base::Tokens smallestLimit(std::span<const Allotment> possible, Base::Milliseconds serviceNow);
 
+/// An allotment that was closed at the most its holder can have spent.
+struct EstimatedClosing
+{
+    Base::InstanceId holder;
+    Base::Tokens counted;
+    /// The service's clock at the closing.
+    Base::Milliseconds closedAt;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(holder, counted, closedAt);
+    }
+};
+
 /// The books of one team: all that was ever set aside. Their sum never passes what is prepaid.
 struct AllotmentRow
 {
+    /// A closing can be corrected for so long: an instance that knows better reaches the table
+    /// within a few reports after the one that closed.
+    static constexpr Base::Milliseconds CorrectionTime{10'000};
+
     /// Spent by lives that are over.
     Base::Tokens closed;
     std::vector<Allotment> allotments;
+    std::vector<EstimatedClosing> estimates;
+
+    /// Closes a dead holder's allotment at the most it can have spent by now. Answers that amount.
+    Base::Tokens closeByEstimate(const Base::InstanceId &holder, Base::Milliseconds serviceNow);
+    /// Closes the allotment of a holder that has said what it spent, or corrects its closing.
+    void closeExactly(const Base::InstanceId &holder, Base::Tokens spent);
+    /// Drops the closings that are too old to be corrected.
+    void forgetEstimates(Base::Milliseconds serviceNow);
 
     /// Everything that is spent or set aside.
     Base::Tokens granted() const;
@@ -56,7 +83,7 @@
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(closed, allotments);
+        archive(closed, allotments, estimates);
     }
 };
 
--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.cpp
@@ -206,20 +206,21 @@
 AllotmentRow AllotmentHolder::plan(
     const Base::TeamId &team, Account &account, Base::Milliseconds serviceNow)
 {
-    AllotmentRow next;
-    next.closed = account.row.closed;
-    for (const auto &allotment : account.row.allotments) {
-        if (allotment.holder.name != m_self.name) {
-            next.allotments.push_back(allotment);
-        } else if (allotment.holder != m_self) {
-            // This process runs in the place of that life, so that life had ended before the
-            // service's clock was read.
-            const auto counted = allotment.limitAt(serviceNow);
-            next.closed += counted;
-            if (m_onClosing)
-                m_onClosing(team, allotment, counted);
-        }
+    auto next = account.row;
+    std::erase_if(next.allotments, [&](const Allotment &own) { return own.holder == m_self; });
+    for (const auto &[life, spent] : account.ended)
+        next.closeExactly(life, spent);
+    const auto others = next.allotments;
+    for (const auto &allotment : others) {
+        // This process runs in the place of that life, so that life had ended before the service's
+        // clock was read.
+        if (allotment.holder.name != m_self.name)
+            continue;
+        const auto counted = next.closeByEstimate(allotment.holder, serviceNow);
+        if (m_onClosing)
+            m_onClosing(team, allotment, counted);
     }
+    next.forgetEstimates(serviceNow);
     if (m_isHandingBack) {
         next.closed += account.spent;
         return next;
--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.h
@@ -13,7 +13,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -87,8 +86,8 @@
         /// The version that a commit without an answer expected.
         std::optional<std::uint64_t> unanswered;
         std::deque<Waiting> waiting;
-        /// Lives that have handed their tokens on to this one.
-        std::set<Base::InstanceId> heirOf;
+        /// Lives that are over and have told what they spent in all.
+        std::map<Base::InstanceId, Base::Tokens> ended;
         /// Lent by others and not spent.
         Base::Tokens borrowed;
         std::vector<TokenLending::Loan> loans;
@@ -146,6 +145,7 @@
     bool m_isReportDue = false;
     bool m_isTableReached = false;
     bool m_isHandingBack = false;
+    bool m_hasPassedOn = false;
     std::function<void(bool)> m_handBackAnswer;
     ClosingObserver m_onClosing;
 };
--- a/Libraries/Carawaykeel/Budget/AllotmentLoans.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentLoans.cpp
@@ -17,6 +17,9 @@
 constexpr std::int64_t LeastPart = 8;
 /// A lender gives away at most one part in this many of what it may spend beyond the need.
 constexpr std::int64_t LendDivisor = 2;
+/// Instances that hear what an ending one has spent; one of them may die before it reaches the
+/// table.
+constexpr std::size_t ToldOfEnd = 3;
 
 } // namespace
 
@@ -135,22 +138,23 @@
 
 void AllotmentHolder::passOn()
 {
-    const auto peers = m_livePeers();
-    if (peers.empty())
+    auto peers = m_livePeers();
+    // What the first message said of this life's end must stay true.
+    if (peers.empty() || std::exchange(m_hasPassedOn, true))
         return;
-    std::uniform_int_distribution<std::size_t> draw(0, peers.size() - 1);
-    const auto &heir = peers.at(draw(m_random));
+    std::ranges::shuffle(peers, m_random);
+    peers.resize(std::min(peers.size(), ToldOfEnd));
     for (auto &[team, account] : m_accounts) {
-        // Only what is free by now: a successor closes this life's allotment at some later moment
-        // of the table's clock, and what becomes free after that is given to others.
+        // Only what is free by now: a successor that knows nothing of this message closes the
+        // allotment by the table's clock, and gives what becomes free later to others.
         const auto own = std::max(spendable(account), Base::Tokens());
-        const auto tokens = own + account.borrowed;
-        if (tokens == Base::Tokens())
-            continue;
+        auto tokens = own + account.borrowed;
         // From here on they are spent, should this life still reach the table.
         account.spent += own;
         account.borrowed = Base::Tokens();
-        m_peers.send(heir, Peer::PassTokens{team, tokens});
+        for (const auto &peer : peers)
+            m_peers.send(
+                peer, Peer::PassTokens{team, std::exchange(tokens, Base::Tokens()), account.spent});
     }
 }
 
@@ -159,7 +163,7 @@
     const auto it = m_accounts.find(message.team);
     if (it == m_accounts.end() || m_isHandingBack)
         return;
-    if (it->second.heirOf.insert(from).second)
+    if (it->second.ended.try_emplace(from, message.spent).second)
         it->second.borrowed += message.tokens;
 }
 
--- a/Libraries/Carawaykeel/Peer/PeerMessage.h
+++ b/Libraries/Carawaykeel/Peer/PeerMessage.h
@@ -232,12 +232,15 @@
 struct PassTokens
 {
     Base::TeamId team;
+    /// None for those that are only told what the sender has spent.
     Base::Tokens tokens;
+    /// Spent by the sender's life in all, what it hands on counted: it spends no more.
+    Base::Tokens spent;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(team, tokens);
+        archive(team, tokens, spent);
     }
 };
 
--- a/Tests/Budget/AllotmentTest.cpp
+++ b/Tests/Budget/AllotmentTest.cpp
@@ -57,7 +57,7 @@
 {
     const auto instance = static_cast<int>(world.draw(0, Instances - 1));
     const auto other = static_cast<int>(world.draw(0, Instances - 1));
-    switch (world.draw(0, 8)) {
+    switch (world.draw(0, 9)) {
     case 0:
         if (fleet.isAlive(instance))
             fleet.kill(instance);
@@ -86,6 +86,10 @@
         fleet.network().setCut(
             AllotmentFleet::nameOf(instance), AllotmentFleet::nameOf(other), world.happens(0.5));
         break;
+    case 8:
+        if (fleet.isAlive(instance))
+            fleet.holder(instance).handBack([](bool) {});
+        break;
     default:
         fleet.table().slowness = Base::Milliseconds(world.draw(0, 400));
         break;
