Forwarding: Send prompts where fewest tokens are read before them

Load was counted in requests, but a prompt of 50,000 tokens occupies a server for longer than the others' objective, and the other instances learn of it from no report in time. Change: a server's cost is the prompt tokens not yet read there, of this instance and as others tell (one datagram within 3 ms of a change of 2,000 tokens or more, forgotten after a second), what the request itself would have to read there, with shared parts counted three times, the requests at work, and waiting beyond the slots. The home by rendezvous hashing counts as holding the shared parts.

--- a/Libraries/Carawaykeel/Forwarding/ServerFleet.cpp
+++ b/Libraries/Carawaykeel/Forwarding/ServerFleet.cpp
@@ -36,15 +36,19 @@
     return it == m_servers.end() ? nullptr : &it->second.entry;
 }
 
-double ServerFleet::loadOf(const KnownServer &server, Base::Milliseconds now) const
+double ServerFleet::requestsAt(const KnownServer &server, Base::Milliseconds now) const
 {
     // The report includes own requests of its time, so the greater of both is the better guess.
     const auto age = static_cast<double>((now - server.reportedAt).count())
         / static_cast<double>(m_policy.reportHalfLife.count());
     const auto reported = (server.reported.running + server.reported.waiting) * std::exp2(-age)
         + server.sentSinceReport;
-    return std::max<double>(server.inFlight, reported)
-        + server.failureRate * m_policy.failurePenalty;
+    return std::max<double>(server.inFlight, reported);
+}
+
+double ServerFleet::loadOf(const KnownServer &server, Base::Milliseconds now) const
+{
+    return requestsAt(server, now) + server.failureRate * m_policy.failurePenalty;
 }
 
 const KnownServer *ServerFleet::choose(const ChoiceHint &hint, Base::Milliseconds now)
@@ -62,29 +66,65 @@
     if (all.empty())
         return nullptr;
     const auto &candidates = good.empty() ? all : good;
-    return hint.promptPart != 0 ? chooseByPrompt(candidates, hint.promptPart, now)
-                                : chooseLeastLoaded(candidates, now);
+    return hint.prompt.empty() ? chooseLeastLoaded(candidates, now)
+                               : chooseByPrompt(candidates, hint, now);
 }
 
-const KnownServer *ServerFleet::chooseByPrompt(std::span<const KnownServer *const> candidates,
-    std::uint64_t promptPart, Base::Milliseconds now) const
+const KnownServer *ServerFleet::homeOf(const ChoiceHint &hint) const
 {
-    // Rendezvous hashing: all instances agree on the order without talking.
-    std::vector<std::pair<std::uint64_t, const KnownServer *>> order;
-    double total = 0;
-    for (const auto *server : candidates) {
-        const auto &name = server->entry.name.text();
-        order.emplace_back(XXH64(name.data(), name.size(), promptPart), server);
-        total += loadOf(*server, now);
+    // The last part is the request's own; the one before it is the longest that is shared.
+    if (hint.prompt.size() < 2)
+        return nullptr;
+    const auto part = hint.prompt[hint.prompt.size() - 2].id;
+    // Rendezvous hashing: all instances agree without talking.
+    const KnownServer *home = nullptr;
+    std::uint64_t highest = 0;
+    for (const auto &[name, server] : m_servers) {
+        if (server.entry.service != hint.service || server.entry.isLeaving)
+            continue;
+        const auto hash = XXH64(name.text().data(), name.text().size(), part);
+        if (!home || hash > highest) {
+            home = &server;
+            highest = hash;
+        }
     }
-    std::ranges::sort(order, std::greater<>());
-    const auto mean = total / static_cast<double>(candidates.size());
-    const auto bound = mean * m_policy.overload + m_policy.overloadSlack;
-    for (const auto &[hash, server] : order) {
-        if (loadOf(*server, now) <= bound)
-            return server;
+    return home;
+}
+
+double ServerFleet::tokensBefore(const KnownServer &server, Base::Milliseconds now) const
+{
+    auto unread = server.unread;
+    for (const auto &[name, peer] : server.peers) {
+        if (now - peer.heardAt <= m_policy.peerBacklogLife)
+            unread += peer.unread;
     }
-    return order.front().second;
+    const auto requests = requestsAt(server, now);
+    const auto waiting = std::max(requests + 1 - server.entry.slots, 0.0);
+    return static_cast<double>(unread.count()) + requests * m_policy.requestTokens
+        + waiting * m_policy.waitingTokens + server.failureRate * m_policy.failureTokens;
+}
+
+const KnownServer *ServerFleet::chooseByPrompt(
+    std::span<const KnownServer *const> candidates, const ChoiceHint &hint, Base::Milliseconds now)
+{
+    std::uniform_real_distribution<double> tieBreak(0, m_policy.requestTokens / 10);
+    const auto *home = homeOf(hint);
+    const auto own = hint.prompt.last(1);
+    const KnownServer *best = nullptr;
+    double fewest = 0;
+    for (const auto *server : candidates) {
+        const auto unread = server->prompts.unread(server == home ? own : hint.prompt, now);
+        const auto again = std::max(unread - own.front().tokens, Base::Tokens());
+        const bool isNear = server->entry.dataCentre == m_self;
+        const auto tokens = tokensBefore(*server, now) + static_cast<double>(unread.count())
+            + static_cast<double>(again.count()) * (m_policy.sharedAgain - 1)
+            + (isNear ? 0 : m_policy.otherDataCentre * m_policy.requestTokens) + tieBreak(m_random);
+        if (!best || tokens < fewest) {
+            best = server;
+            fewest = tokens;
+        }
+    }
+    return best;
 }
 
 const KnownServer *ServerFleet::chooseLeastLoaded(
@@ -114,13 +154,49 @@
     });
 }
 
-void ServerFleet::onSent(const Base::ServerName &name)
+Base::Tokens ServerFleet::onSent(
+    const Base::ServerName &name, std::span<const PromptPart> prompt, Base::Milliseconds now)
 {
     const auto it = m_servers.find(name);
     if (it == m_servers.end())
-        return;
-    ++it->second.inFlight;
-    ++it->second.sentSinceReport;
+        return {};
+    auto &server = it->second;
+    ++server.inFlight;
+    ++server.sentSinceReport;
+    const auto unread = server.prompts.unread(prompt, now);
+    server.unread += unread;
+    server.prompts.note(prompt, now);
+    return unread;
+}
+
+void ServerFleet::onRead(const Base::ServerName &name, Base::Tokens unread)
+{
+    const auto it = m_servers.find(name);
+    if (it != m_servers.end())
+        it->second.unread = std::max(it->second.unread - unread, Base::Tokens());
+}
+
+void ServerFleet::onPeerBacklogs(
+    const Base::InstanceName &peer, std::span<const ServerBacklog> backlogs, Base::Milliseconds now)
+{
+    for (const auto &backlog : backlogs) {
+        const auto it = m_servers.find(backlog.server);
+        if (it == m_servers.end())
+            continue;
+        if (backlog.unread > Base::Tokens()) {
+            it->second.peers[peer] = {backlog.unread, now};
+        } else {
+            it->second.peers.erase(peer);
+        }
+    }
+}
+
+std::vector<ServerBacklog> ServerFleet::backlogs() const
+{
+    std::vector<ServerBacklog> backlogs;
+    for (const auto &[name, server] : m_servers)
+        backlogs.push_back({name, server.unread});
+    return backlogs;
 }
 
 void ServerFleet::onEnded(const Base::ServerName &name, bool hasFailed, Base::Milliseconds now)
--- a/Libraries/Carawaykeel/Forwarding/ServerFleet.h
+++ b/Libraries/Carawaykeel/Forwarding/ServerFleet.h
@@ -3,6 +3,7 @@
 #include <Carawaykeel/Base/BackOff.h>
 #include <Carawaykeel/Forwarding/KnownServer.h>
 #include <Carawaykeel/Forwarding/RequestTerms.h>
+#include <Carawaykeel/Forwarding/ServerBacklog.h>
 
 #include <map>
 #include <optional>
@@ -15,11 +16,17 @@
 /// The dials of the choice of a server.
 struct ChoicePolicy
 {
-    /// A server that holds the prompt is passed over while its load is above this many times the
-    /// mean...
-    double overload = 1.25;
-    /// ...and this many requests more than the mean.
-    double overloadSlack = 6;
+    /// What a request at a server counts as in prompt tokens to read: it slows the others...
+    double requestTokens = 100;
+    /// A shared part that is read again takes the room of another, so it counts this many times.
+    double sharedAgain = 3;
+    /// ...and each one beyond the server's slots has to wait for another to end.
+    double waitingTokens = 4'000;
+    /// What a server that fails every request counts as in prompt tokens: its requests are mostly
+    /// read once more elsewhere.
+    double failureTokens = 30'000;
+    /// What another instance said of its prompts counts for so long.
+    Base::Milliseconds peerBacklogLife{1'000};
     /// What a server in another data centre counts as, in requests.
     double otherDataCentre = 0.4;
     /// A report counts half after this time.
@@ -38,8 +45,8 @@
 struct ChoiceHint
 {
     Base::ServiceName service;
-    /// The part of the prompt to follow; zero when there is none.
-    std::uint64_t promptPart = 0;
+    /// The parts of the prompt, the request's own last; empty when the service reads none.
+    std::span<const PromptPart> prompt;
     /// Servers that have had the request.
     std::set<Base::ServerName> tried;
 };
@@ -64,7 +71,17 @@
     /// True when a server of the service that is not in the list may be used.
     bool hasOther(const Base::ServiceName &service, const std::set<Base::ServerName> &tried) const;
 
-    void onSent(const Base::ServerName &name);
+    /// A request goes to a server. Answers the tokens it probably has to read; they count until
+    /// onRead().
+    Base::Tokens onSent(
+        const Base::ServerName &name, std::span<const PromptPart> prompt, Base::Milliseconds now);
+    /// The server has read a request's prompt, or will not.
+    void onRead(const Base::ServerName &name, Base::Tokens unread);
+    /// Another instance tells what it has at the servers that it names.
+    void onPeerBacklogs(const Base::InstanceName &peer, std::span<const ServerBacklog> backlogs,
+        Base::Milliseconds now);
+    /// What this instance has at each server.
+    std::vector<ServerBacklog> backlogs() const;
     void onEnded(const Base::ServerName &name, bool hasFailed, Base::Milliseconds now);
     void onReport(const Base::ServerName &name, const ReportedLoad &load, Base::Milliseconds now);
 
@@ -75,9 +92,12 @@
     std::vector<KnownServer> servers() const;
 
 private:
+    double requestsAt(const KnownServer &server, Base::Milliseconds now) const;
     double loadOf(const KnownServer &server, Base::Milliseconds now) const;
+    double tokensBefore(const KnownServer &server, Base::Milliseconds now) const;
+    const KnownServer *homeOf(const ChoiceHint &hint) const;
     const KnownServer *chooseByPrompt(std::span<const KnownServer *const> candidates,
-        std::uint64_t promptPart, Base::Milliseconds now) const;
+        const ChoiceHint &hint, Base::Milliseconds now);
     const KnownServer *chooseLeastLoaded(
         std::span<const KnownServer *const> candidates, Base::Milliseconds now);
 
--- /dev/null
+++ b/Libraries/Carawaykeel/Ingress/BacklogReports.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <Carawaykeel/Base/Scheduler.h>
+#include <Carawaykeel/Forwarding/ServerFleet.h>
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace Carawaykeel::Ingress {
+
+/// Tells the other instances where long prompts are being read, so that they send elsewhere. What
+/// servers report comes too late for it: a prompt is read in less time than a report takes.
+class BacklogReports
+{
+public:
+    using Sender = std::function<void(const std::vector<Forwarding::ServerBacklog> &)>;
+
+    /// Changes within this time share a message.
+    static constexpr Base::Milliseconds GatherTime{3};
+    /// A change of fewer tokens than this at one server is not worth a message: about 20 ms of
+    /// reading.
+    static constexpr Base::Tokens LeastChange{2'000};
+
+    BacklogReports(
+        Base::Scheduler &scheduler, const Forwarding::ServerFleet &servers, Sender sender);
+
+    /// A prompt was sent to a server or read by it.
+    void onChanged();
+
+private:
+    void tell();
+
+    Base::Scheduler &m_scheduler;
+    const Forwarding::ServerFleet &m_servers;
+    const Sender m_sender;
+    std::map<Base::ServerName, Base::Tokens> m_told;
+    bool m_isDue = false;
+};
+
+} // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -73,11 +73,9 @@
 void Exchange::send()
 {
     while (!m_isFinished) {
-        Forwarding::ChoiceHint hint{m_service, 0, m_tried};
-        // The last part is the request's own; the one before it is the longest that is shared.
-        if (m_terms.promptParts.size() >= 2)
-            hint.promptPart = m_terms.promptParts[m_terms.promptParts.size() - 2].id;
-        const auto *server = m_context.servers.choose(hint, m_context.reactor.now());
+        const auto now = m_context.reactor.now();
+        const auto *server =
+            m_context.servers.choose({m_service, m_terms.promptParts, m_tried}, now);
         if (!server) {
             return fail({m_mayHaveRun ? Base::ErrorKind::ServerBroke : Base::ErrorKind::NoServer,
                 "no server is left to try", NoServerDelay});
@@ -87,15 +85,16 @@
         const auto bytes = encode(*server);
         m_connection = m_context.connections.take(server->entry.address);
         if (!m_connection) {
-            m_context.servers.onSent(m_server);
-            m_context.servers.onEnded(m_server, true, m_context.reactor.now());
+            m_context.servers.onSent(m_server, {}, now);
+            m_context.servers.onEnded(m_server, true, now);
             continue;
         }
         ++m_attempt;
         ++m_attemptsSent;
         m_answer = Answer();
-        m_lastProgress = m_context.reactor.now();
-        m_context.servers.onSent(m_server);
+        m_lastProgress = now;
+        m_unread = m_context.servers.onSent(m_server, m_terms.promptParts, now);
+        m_context.backlogs.onChanged();
         m_connection->begin(m_head->getMethod(), m_terms.id, bytes, *this);
         watchSilence();
         return;
@@ -147,6 +146,7 @@
 {
     const auto self = shared_from_this();
     m_lastProgress = m_context.reactor.now();
+    noteRead();
     if (isStream() && isSuccess())
         return passEvents(bytes);
     m_answer.body.append(bytes);
@@ -221,8 +221,17 @@
     afterAttempt(end);
 }
 
+void Exchange::noteRead()
+{
+    if (m_unread == Base::Tokens())
+        return;
+    m_context.servers.onRead(m_server, std::exchange(m_unread, Base::Tokens()));
+    m_context.backlogs.onChanged();
+}
+
 void Exchange::endAttempt(bool hasFailed)
 {
+    noteRead();
     m_context.servers.onEnded(m_server, hasFailed, m_context.reactor.now());
     if (m_connection)
         m_context.connections.giveBack(std::exchange(m_connection, nullptr));
--- a/Libraries/Carawaykeel/Ingress/Exchange.h
+++ b/Libraries/Carawaykeel/Ingress/Exchange.h
@@ -60,6 +60,7 @@
     void startTimers();
     void watchSilence();
     void onTimeout();
+    void noteRead();
     void endAttempt(bool hasFailed);
     void afterAttempt(Forwarding::AttemptEnd end);
     void passEvents(std::string_view bytes);
@@ -92,6 +93,8 @@
 
     std::shared_ptr<ServerConnection> m_connection;
     Base::ServerName m_server;
+    /// Prompt tokens that the server has yet to read before it answers.
+    Base::Tokens m_unread;
     std::set<Base::ServerName> m_tried;
     int m_attemptsSent = 0;
     /// Number of the present attempt, so that a timer of an earlier one does nothing.
--- a/Libraries/Carawaykeel/Ingress/ExchangeContext.h
+++ b/Libraries/Carawaykeel/Ingress/ExchangeContext.h
@@ -7,6 +7,7 @@
 #include <Carawaykeel/Forwarding/RetryWindow.h>
 #include <Carawaykeel/Forwarding/RouterConfiguration.h>
 #include <Carawaykeel/Forwarding/ServerFleet.h>
+#include <Carawaykeel/Ingress/BacklogReports.h>
 #include <Carawaykeel/Ingress/ServerConnections.h>
 #include <Carawaykeel/Net/Reactor.h>
 
@@ -21,6 +22,7 @@
     const Forwarding::Dialect &dialect;
     Forwarding::ServerFleet &servers;
     Forwarding::RetryWindow &retries;
+    BacklogReports &backlogs;
     ServerConnections &connections;
     Budget::TokenPurse &purse;
     const Adapters::Logger &log;
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -60,6 +60,8 @@
     , m_codec(m_settings.peerKey)
     , m_servers(m_settings.dataCentre, m_settings.choice, m_random)
     , m_retries(m_settings.retries)
+    , m_backlogs(reactor, m_servers,
+          [this](const auto &backlogs) { m_membership->tellBacklogs(backlogs); })
     , m_connections(reactor, m_interfaces.dialect)
     , m_peers(
           m_self.id, m_settings.peerAddress, MostFrameBytes, m_codec, reactor,
@@ -68,8 +70,8 @@
     , m_allotments(
           m_self.id, reactor, m_interfaces.table, m_peers,
           [this] { return m_membership->livePeers(); }, m_settings.allotments, m_random)
-    , m_context{reactor, m_interfaces.dialect, m_servers, m_retries, m_connections, m_allotments,
-          m_log, m_random, nullptr, false, 0}
+    , m_context{reactor, m_interfaces.dialect, m_servers, m_retries, m_backlogs, m_connections,
+          m_allotments, m_log, m_random, nullptr, false, 0}
     , m_serverChanges(
           reactor, m_servers, m_interfaces.serverDecoder,
           [this](const Base::ServerName &life) { m_membership->spreadLeavingServer(life); }, m_log)
@@ -106,6 +108,10 @@
     };
     events.onLeavingServer = [this](
                                  const Base::ServerName &life) { m_serverChanges.onRelayed(life); };
+    events.onBacklogs = [this](const Base::InstanceName &from,
+                            std::span<const Forwarding::ServerBacklog> backlogs) {
+        m_servers.onPeerBacklogs(from, backlogs, m_reactor.now());
+    };
     events.onMissed = [this](const Base::InstanceId &missed) {
         m_log.info("instance_missed", fmt::format("name={}", missed.name.text()));
     };
--- a/Libraries/Carawaykeel/Ingress/Router.h
+++ b/Libraries/Carawaykeel/Ingress/Router.h
@@ -71,6 +71,7 @@
     Peer::SealedCodec m_codec;
     Forwarding::ServerFleet m_servers;
     Forwarding::RetryWindow m_retries;
+    BacklogReports m_backlogs;
     ServerConnections m_connections;
     Adapters::TcpPeerLink m_peers;
     Budget::AllotmentHolder m_allotments;
--- a/Libraries/Carawaykeel/Membership/GossipMessage.h
+++ b/Libraries/Carawaykeel/Membership/GossipMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Carawaykeel/Forwarding/ServerBacklog.h>
 #include <Carawaykeel/Membership/Member.h>
 
 #include <cstdint>
@@ -13,6 +14,8 @@
     Acknowledge,
     /// Asks the receiver to ping the target for the sender.
     PingRequest,
+    /// Tells what the sender's requests have yet to be read at servers; needs no answer.
+    Backlogs,
 };
 
 /// One datagram. Each carries the sender, the version of its configuration and some news.
@@ -27,11 +30,13 @@
     std::vector<Member> news;
     /// Backend servers that are leaving.
     std::vector<Base::ServerName> leavingServers;
+    std::vector<Forwarding::ServerBacklog> backlogs;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(kind, sequence, sender, target, configurationVersion, news, leavingServers);
+        archive(
+            kind, sequence, sender, target, configurationVersion, news, leavingServers, backlogs);
     }
 };
 
--- a/Libraries/Carawaykeel/Membership/Membership.h
+++ b/Libraries/Carawaykeel/Membership/Membership.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,9 @@
     std::function<void(const Base::ServerName &server)> onLeavingServer;
     /// A member was missed, or a life of it is over.
     std::function<void(const Base::InstanceId &)> onMissed;
+    /// A member tells what servers have yet to read of its requests.
+    std::function<void(const Base::InstanceName &from, std::span<const Forwarding::ServerBacklog>)>
+        onBacklogs = {};
 };
 
 /// Probing between instances in the manner of SWIM (Das, Gupta, Motivala 2002): one probe a period,
@@ -49,6 +53,9 @@
     /// Spreads that a backend server is leaving.
     void spreadLeavingServer(const Base::ServerName &server);
 
+    /// Tells the living members what servers have yet to read of this instance's requests.
+    void tellBacklogs(const std::vector<Forwarding::ServerBacklog> &backlogs);
+
     /// The version that datagrams carry from now on.
     void setConfigurationVersion(std::uint64_t version);
 
--- a/Libraries/Carawaykeel/Membership/MembershipPolicy.h
+++ b/Libraries/Carawaykeel/Membership/MembershipPolicy.h
@@ -25,6 +25,9 @@
     std::size_t newsFactor = 3;
     /// In one of this many periods a missed member or a seed is probed, so that cuts heal.
     std::size_t healEvery = 5;
+    /// Members that are told at most where prompts are being read; bounds the datagrams of a large
+    /// fleet.
+    std::size_t backlogReceivers = 24;
 };
 
 } // namespace Carawaykeel::Membership
--- a/Tests/Forwarding/ServerFleetTest.cpp
+++ b/Tests/Forwarding/ServerFleetTest.cpp
@@ -23,6 +23,13 @@
     return entry;
 }
 
+/// A prompt that shares one part with others.
+std::vector<Forwarding::PromptPart> prompt(std::uint64_t part)
+{
+    static std::uint64_t own = 1'000'000;
+    return {{part, Base::Tokens(500)}, {++own, Base::Tokens(1'000)}};
+}
+
 } // namespace
 
 /// Where work goes.
@@ -57,10 +64,10 @@
             other.put(entry(n));
         std::map<Base::ServerName, int> chosen;
         for (std::uint64_t part = 1; part <= 200; ++part) {
-            const auto *server = fleet.choose({Service, part, {}}, Now);
+            const auto *server = fleet.choose({Service, prompt(part), {}}, Now);
             ++chosen[server->entry.name];
             CPPUNIT_ASSERT(
-                server->entry.name == other.choose({Service, part, {}}, Now)->entry.name);
+                server->entry.name == other.choose({Service, prompt(part), {}}, Now)->entry.name);
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(9), chosen.size());
     }
@@ -71,8 +78,9 @@
         announce(9);
         std::map<Base::ServerName, int> sent;
         for (int n = 0; n < 90; ++n) {
-            const auto name = fleet.choose({Service, 42, {}}, Now)->entry.name;
-            fleet.onSent(name);
+            const auto parts = prompt(42);
+            const auto name = fleet.choose({Service, parts, {}}, Now)->entry.name;
+            fleet.onSent(name, parts, Now);
             ++sent[name];
         }
         int most = 0;
@@ -88,35 +96,36 @@
         leaving.isLeaving = true;
         fleet.put(leaving);
         for (std::uint64_t part = 0; part < 50; ++part) {
-            CPPUNIT_ASSERT(fleet.choose({Service, part, {}}, Now)->entry.name == entry(1).name);
+            CPPUNIT_ASSERT(
+                fleet.choose({Service, prompt(part), {}}, Now)->entry.name == entry(1).name);
         }
-        CPPUNIT_ASSERT(!fleet.choose({Service, 0, {entry(1).name}}, Now));
+        CPPUNIT_ASSERT(!fleet.choose({Service, {}, {entry(1).name}}, Now));
         CPPUNIT_ASSERT(!fleet.hasOther(Service, {entry(1).name}));
-        CPPUNIT_ASSERT(!fleet.choose({Base::ServiceName("other"), 0, {}}, Now));
+        CPPUNIT_ASSERT(!fleet.choose({Base::ServiceName("other"), {}, {}}, Now));
     }
 
     void nearServerIsPreferredUntilItIsLoaded()
     {
         fleet.put(entry(0, "dc-b"));
         fleet.put(entry(1, "dc-a"));
-        CPPUNIT_ASSERT(fleet.choose({Service, 0, {}}, Now)->entry.name == entry(1).name);
-        fleet.onSent(entry(1).name);
-        CPPUNIT_ASSERT(fleet.choose({Service, 0, {}}, Now)->entry.name == entry(0).name);
+        CPPUNIT_ASSERT(fleet.choose({Service, {}, {}}, Now)->entry.name == entry(1).name);
+        fleet.onSent(entry(1).name, {}, Now);
+        CPPUNIT_ASSERT(fleet.choose({Service, {}, {}}, Now)->entry.name == entry(0).name);
     }
 
     void failingServerIsAvoidedAndComesBack()
     {
         announce(2);
         for (int n = 0; n < 3; ++n) {
-            fleet.onSent(entry(0).name);
+            fleet.onSent(entry(0).name, {}, Now);
             fleet.onEnded(entry(0).name, true, Now);
         }
         for (int n = 0; n < 50; ++n) {
-            fleet.onSent(entry(1).name);
-            CPPUNIT_ASSERT(fleet.choose({Service, 0, {}}, Now)->entry.name == entry(1).name);
+            fleet.onSent(entry(1).name, {}, Now);
+            CPPUNIT_ASSERT(fleet.choose({Service, {}, {}}, Now)->entry.name == entry(1).name);
         }
         const auto later = Now + Base::Milliseconds(1'001);
-        CPPUNIT_ASSERT(fleet.choose({Service, 0, {}}, later)->entry.name == entry(0).name);
+        CPPUNIT_ASSERT(fleet.choose({Service, {}, {}}, later)->entry.name == entry(0).name);
     }
 
     void allAvoidedIsBetterThanNone()
@@ -124,13 +133,13 @@
         announce(1);
         for (int n = 0; n < 9; ++n)
             fleet.onEnded(entry(0).name, true, Now);
-        CPPUNIT_ASSERT(fleet.choose({Service, 0, {}}, Now));
+        CPPUNIT_ASSERT(fleet.choose({Service, {}, {}}, Now));
     }
 
     void laterLifeBeginsWithoutAPast()
     {
         announce(1);
-        fleet.onSent(entry(0).name);
+        fleet.onSent(entry(0).name, {}, Now);
         auto reborn = entry(0);
         reborn.bornAt = 5;
         fleet.put(reborn);
--- a/Tests/Support/RouterHarness.cpp
+++ b/Tests/Support/RouterHarness.cpp
@@ -31,10 +31,11 @@
 RouterHarness::RouterHarness(Forwarding::Route route, const std::vector<std::string> &servers)
     : m_servers(Base::DataCentre("dc"), {}, m_random)
     , m_retries(Retries)
+    , m_backlogs(m_reactor, m_servers, [](const auto &) {})
     , m_connections(m_reactor, m_dialect)
     , m_log({Base::InstanceName("test"), 1})
-    , m_context{m_reactor, m_dialect, m_servers, m_retries, m_connections, m_purse, m_log, m_random,
-          makeConfiguration(std::move(route)), false, 0}
+    , m_context{m_reactor, m_dialect, m_servers, m_retries, m_backlogs, m_connections, m_purse,
+          m_log, m_random, makeConfiguration(std::move(route)), false, 0}
     , m_handler(m_context)
     , m_callers(
           m_reactor, "127.0.0.1:0", m_handler, [] { return Forwarding::CallerLimits(); },
@@ -50,7 +51,7 @@
         m_servers.put(entry);
         // Later servers are more loaded, so that the order of attempts is known.
         for (int k = 0; k < n; ++k)
-            m_servers.onSent(entry.name);
+            m_servers.onSent(entry.name, {}, m_reactor.now());
         ++n;
     }
     m_thread = std::thread([this] { m_reactor.run(); });
--- a/Tests/Support/RouterHarness.h
+++ b/Tests/Support/RouterHarness.h
@@ -58,6 +58,7 @@
     Base::RandomEngine m_random{1};
     Forwarding::ServerFleet m_servers;
     Forwarding::RetryWindow m_retries;
+    Ingress::BacklogReports m_backlogs;
     Ingress::ServerConnections m_connections;
     FreePurse m_purse;
     Adapters::Logger m_log;
