Logging: Write bounded lines to standard output from a thread of their own

Cause: lines went to standard error from the thread that decides; a reader that stood still would have held up every request, and nothing bounded their number. Change: a closed list of events, fields that cannot forge a line, a budget of lines a second that leaves out routine ones first and counts them, a queue bounded in bytes, one writing thread. A request's line now says how long it was held, when its first event came, the longest pause, what was thought to be ahead of it at its server and how old that report was. The cost in processor time is not measured yet.

--- a/Libraries/Carawaykeel/Adapters/Daemon.cpp
+++ b/Libraries/Carawaykeel/Adapters/Daemon.cpp
@@ -6,10 +6,14 @@
 #include <chrono>
 #include <fmt/core.h>
 #include <random>
+#include <unistd.h>
 #include <utility>
 
 namespace Carawaykeel::Adapters {
 
+using Logging::LogEvent;
+using Logging::LogFields;
+
 namespace {
 
 constexpr int WritePolls = 500;
@@ -33,7 +37,8 @@
 Daemon::Daemon(DaemonSettings settings)
     : m_settings(withIdentity(std::move(settings)))
     , m_random(std::random_device{}())
-    , m_log(m_settings.instance.self.id)
+    , m_logSink(STDOUT_FILENO)
+    , m_log(m_settings.instance.self.id, m_logSink)
     , m_codec(m_settings.peerKey)
     , m_platform(m_settings.platform, m_settings.instance.self.id.name.text(), m_loop)
     , m_backends(m_settings.limits)
@@ -81,9 +86,11 @@
         m_instance->start();
         watchVmList();
     });
-    m_log.info("started",
-        fmt::format("callers={} operators={} data_centre={}", self.callerAddress,
-            self.operatorAddress, self.dataCentre.text()));
+    m_log.info(LogEvent::Started,
+        LogFields()
+            .add("callers", self.callerAddress)
+            .add("operators", self.operatorAddress)
+            .add("data_centre", self.dataCentre.text()));
 }
 
 Daemon::~Daemon()
@@ -97,6 +104,12 @@
     m_peers.reset();
 }
 
+void Daemon::flushLog()
+{
+    constexpr Base::Milliseconds Patience(200);
+    m_logSink.flush(Patience);
+}
+
 std::string Daemon::addressOf(const Base::InstanceName &name)
 {
     const auto &members = m_instance->membership().members();
@@ -108,13 +121,15 @@
 {
     m_attempts.setDeclaration(declaration);
     m_table.publish(std::make_unique<Fleet::RoutingTable>(version, declaration));
-    m_log.info("configuration_in_force", fmt::format("version={}", version));
+    m_log.info(LogEvent::ConfigurationInForce, LogFields().add("version", version));
 }
 
 void Daemon::onMissed(const Base::InstanceId &missed)
 {
-    m_log.warn("instance_missed",
-        fmt::format("missed={} missed_incarnation={}", missed.name.text(), missed.incarnation));
+    m_log.warn(LogEvent::InstanceMissed,
+        LogFields()
+            .add("missed", missed.name.text())
+            .add("missed_incarnation", missed.incarnation));
 }
 
 void Daemon::watchVmList()
@@ -144,7 +159,7 @@
     m_loop.post([this] {
         if (m_instance->isShuttingDown())
             return;
-        m_log.info("leaving");
+        m_log.info(LogEvent::Leaving);
         m_instance->shutDown(
             m_settings.shutDownLimit, [this](bool isHandedBack) { finish(isHandedBack); });
     });
@@ -153,10 +168,10 @@
 void Daemon::finish(bool isHandedBack)
 {
     if (isHandedBack) {
-        m_log.info("left", "grants=handed_back");
+        m_log.info(LogEvent::Left, LogFields().add("open_grants", 0));
     } else {
-        m_log.warn("left",
-            fmt::format("grants=open open_grants={}", m_instance->budgets().book().all().size()));
+        m_log.warn(LogEvent::Left,
+            LogFields().add("open_grants", m_instance->budgets().book().all().size()));
     }
     const std::lock_guard lock(m_mutex);
     m_hasLeft = true;
--- a/Libraries/Carawaykeel/Adapters/Daemon.h
+++ b/Libraries/Carawaykeel/Adapters/Daemon.h
@@ -4,7 +4,6 @@
 #include <Carawaykeel/Adapters/CallerServer.h>
 #include <Carawaykeel/Adapters/DaemonSettings.h>
 #include <Carawaykeel/Adapters/EngineAttempts.h>
-#include <Carawaykeel/Adapters/Logger.h>
 #include <Carawaykeel/Adapters/OperatorServer.h>
 #include <Carawaykeel/Adapters/PlatformClient.h>
 #include <Carawaykeel/Adapters/TcpPeerLink.h>
@@ -12,6 +11,8 @@
 #include <Carawaykeel/Fleet/EventLoop.h>
 #include <Carawaykeel/Fleet/RequestPath.h>
 #include <Carawaykeel/Instance/Instance.h>
+#include <Carawaykeel/Logging/Logger.h>
+#include <Carawaykeel/Logging/StreamLogSink.h>
 
 #include <condition_variable>
 #include <memory>
@@ -33,6 +34,9 @@
     /// Begins to leave; a second call changes nothing.
     void requestShutDown();
 
+    /// Writes what was logged, unless the log's reader does not read.
+    void flushLog();
+
     /// Waits until the process has left. Answers true when everything was handed back.
     bool wait();
 
@@ -46,7 +50,8 @@
 
     DaemonSettings m_settings;
     Base::RandomEngine m_random;
-    Logger m_log;
+    Logging::StreamLogSink m_logSink;
+    Logging::Logger m_log;
     Peer::SealedCodec m_codec;
     Fleet::EventLoop m_loop;
     PlatformClient m_platform;
--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.cpp
@@ -188,6 +188,7 @@
     const auto serviceNow = *m_clock.earliestNow(m_scheduler.now());
     Platform::Transaction transaction;
     m_written.clear();
+    m_closings.clear();
     for (auto &[team, account] : m_accounts) {
         m_written.push_back(team);
         auto row = plan(team, account, serviceNow);
@@ -216,9 +217,7 @@
         // clock was read.
         if (allotment.holder.name != m_self.name)
             continue;
-        const auto counted = next.closeByEstimate(allotment.holder, serviceNow);
-        if (m_onClosing)
-            m_onClosing(team, allotment, counted);
+        m_closings.push_back({team, allotment, next.closeByEstimate(allotment.holder, serviceNow)});
     }
     next.forgetEstimates(serviceNow);
     if (m_isHandingBack) {
@@ -271,6 +270,8 @@
             if (!account.possible.empty())
                 account.possible.erase(account.possible.begin(), std::prev(account.possible.end()));
         }
+        for (const auto &closing : m_closings)
+            m_onClosing(closing.team, closing.allotment, closing.counted);
         return finishReport(true);
     case Platform::CommitOutcome::Conflict:
         // It has not landed and never will.
--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.h
@@ -97,6 +97,12 @@
         double tokensPerSecond = 0;
         Base::Tokens spentAtLastReport;
     };
+    struct Closing
+    {
+        Base::TeamId team;
+        Allotment allotment;
+        Base::Tokens counted;
+    };
     using Accounts = std::map<Base::TeamId, Account>;
 
     static std::string keyOf(const Base::TeamId &team);
@@ -147,7 +153,9 @@
     bool m_isHandingBack = false;
     bool m_hasPassedOn = false;
     std::function<void(bool)> m_handBackAnswer;
-    ClosingObserver m_onClosing;
+    /// Allotments that the commit under way closes by estimate.
+    std::vector<Closing> m_closings;
+    ClosingObserver m_onClosing = [](const auto &, const auto &, auto) {};
 };
 
 } // namespace Carawaykeel::Budget
--- a/Libraries/Carawaykeel/Forwarding/AttemptDecision.cpp
+++ b/Libraries/Carawaykeel/Forwarding/AttemptDecision.cpp
@@ -42,6 +42,38 @@
 
 } // namespace
 
+std::string_view nameOf(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::NotSent:
+        return "not_sent";
+    case AttemptEnd::RefusedByServer:
+        return "refused_by_server";
+    case AttemptEnd::FailedByServer:
+        return "failed_by_server";
+    case AttemptEnd::Broken:
+        return "broken";
+    case AttemptEnd::Garbled:
+        return "garbled";
+    }
+    return "unknown";
+}
+
+std::string_view nameOf(NextStep step)
+{
+    switch (step) {
+    case NextStep::TryAgain:
+        return "try_again";
+    case NextStep::PassOn:
+        return "pass_on";
+    case NextStep::Fail:
+        return "fail";
+    case NextStep::BreakOff:
+        return "break_off";
+    }
+    return "unknown";
+}
+
 AttemptDecision decideAfterAttempt(const Route &route, const AttemptState &state)
 {
     const auto kind = kindOf(state);
--- a/Libraries/Carawaykeel/Forwarding/AttemptDecision.h
+++ b/Libraries/Carawaykeel/Forwarding/AttemptDecision.h
@@ -3,6 +3,8 @@
 #include <Carawaykeel/Base/ErrorKind.h>
 #include <Carawaykeel/Forwarding/Route.h>
 
+#include <string_view>
+
 namespace Carawaykeel::Forwarding {
 
 /// How one attempt at a server ended.
@@ -19,6 +21,9 @@
     Garbled,
 };
 
+/// The word for an end in logs.
+std::string_view nameOf(AttemptEnd end);
+
 /// What is known when an attempt has ended without a whole good answer.
 struct AttemptState
 {
@@ -46,6 +51,9 @@
     BreakOff,
 };
 
+/// The word for a step in logs.
+std::string_view nameOf(NextStep step);
+
 struct AttemptDecision
 {
     NextStep step = NextStep::Fail;
--- a/Libraries/Carawaykeel/Forwarding/PromptMemory.cpp
+++ b/Libraries/Carawaykeel/Forwarding/PromptMemory.cpp
@@ -18,8 +18,7 @@
         forgetOld(now);
 }
 
-Base::Tokens PromptMemory::unread(
-    std::span<const PromptPart> prompt, Base::Milliseconds now) const
+Base::Tokens PromptMemory::unread(std::span<const PromptPart> prompt, Base::Milliseconds now) const
 {
     const auto firstUnread = std::ranges::find_if_not(
         prompt, [&](const PromptPart &part) { return keeps(part.id, now); });
--- a/Libraries/Carawaykeel/Forwarding/PromptMemory.h
+++ b/Libraries/Carawaykeel/Forwarding/PromptMemory.h
@@ -10,8 +10,8 @@
 
 namespace Carawaykeel::Forwarding {
 
-/// The parts of prompts that one server was sent lately and so probably keeps. A guess: servers drop
-/// what they need the room of, and other instances send there too.
+/// The parts of prompts that one server was sent lately and so probably keeps. A guess: servers
+/// drop what they need the room of, and other instances send there too.
 class PromptMemory
 {
 public:
--- a/Libraries/Carawaykeel/Forwarding/ServerFleet.cpp
+++ b/Libraries/Carawaykeel/Forwarding/ServerFleet.cpp
@@ -91,7 +91,7 @@
     return home;
 }
 
-double ServerFleet::tokensBefore(const KnownServer &server, Base::Milliseconds now) const
+std::int64_t ServerFleet::tokensBefore(const KnownServer &server, Base::Milliseconds now) const
 {
     auto unread = server.unread;
     for (const auto &[name, peer] : server.peers) {
@@ -100,8 +100,9 @@
     }
     const auto requests = requestsAt(server, now);
     const auto waiting = std::max(requests + 1 - server.entry.slots, 0.0);
-    return static_cast<double>(unread.count()) + requests * m_policy.requestTokens
-        + waiting * m_policy.waitingTokens + server.failureRate * m_policy.failureTokens;
+    const auto others = requests * m_policy.requestTokens + waiting * m_policy.waitingTokens
+        + server.failureRate * m_policy.failureTokens;
+    return unread.count() + static_cast<std::int64_t>(others);
 }
 
 const KnownServer *ServerFleet::chooseByPrompt(
@@ -116,7 +117,8 @@
         const auto unread = server->prompts.unread(server == home ? own : hint.prompt, now);
         const auto again = std::max(unread - own.front().tokens, Base::Tokens());
         const bool isNear = server->entry.dataCentre == m_self;
-        const auto tokens = tokensBefore(*server, now) + static_cast<double>(unread.count())
+        const auto tokens = static_cast<double>(tokensBefore(*server, now))
+            + static_cast<double>(unread.count())
             + static_cast<double>(again.count()) * (m_policy.sharedAgain - 1)
             + (isNear ? 0 : m_policy.otherDataCentre * m_policy.requestTokens) + tieBreak(m_random);
         if (!best || tokens < fewest) {
--- a/Libraries/Carawaykeel/Forwarding/ServerFleet.h
+++ b/Libraries/Carawaykeel/Forwarding/ServerFleet.h
@@ -68,6 +68,10 @@
     /// The server to send to; null when none may be used. Valid until the next change.
     const KnownServer *choose(const ChoiceHint &hint, Base::Milliseconds now);
 
+    /// Prompt tokens that a server is thought to read before those of a new request, with what else
+    /// it does counted as tokens.
+    std::int64_t tokensBefore(const KnownServer &server, Base::Milliseconds now) const;
+
     /// True when a server of the service that is not in the list may be used.
     bool hasOther(const Base::ServiceName &service, const std::set<Base::ServerName> &tried) const;
 
@@ -94,7 +98,6 @@
 private:
     double requestsAt(const KnownServer &server, Base::Milliseconds now) const;
     double loadOf(const KnownServer &server, Base::Milliseconds now) const;
-    double tokensBefore(const KnownServer &server, Base::Milliseconds now) const;
     const KnownServer *homeOf(const ChoiceHint &hint) const;
     const KnownServer *chooseByPrompt(std::span<const KnownServer *const> candidates,
         const ChoiceHint &hint, Base::Milliseconds now);
--- a/Libraries/Carawaykeel/Ingress/ConfigurationChanges.cpp
+++ b/Libraries/Carawaykeel/Ingress/ConfigurationChanges.cpp
@@ -1,12 +1,14 @@
 #include <Carawaykeel/Ingress/ConfigurationChanges.h>
 
-#include <fmt/core.h>
 #include <utility>
 
 namespace Carawaykeel::Ingress {
 
+using Logging::LogEvent;
+using Logging::LogFields;
+
 ConfigurationChanges::ConfigurationChanges(std::string key, Base::Scheduler &scheduler,
-    Decoder decoder, std::function<void(Pointer)> whenNewer, const Adapters::Logger &log)
+    Decoder decoder, std::function<void(Pointer)> whenNewer, const Logging::Logger &log)
     : m_key(std::move(key))
     , m_scheduler(scheduler)
     , m_decoder(std::move(decoder))
@@ -37,7 +39,8 @@
 
 void ConfigurationChanges::onReached(bool isReached)
 {
-    m_log.info(isReached ? "configuration_reached" : "configuration_lost");
+    m_log.info(isReached ? LogEvent::ConfigurationReached : LogEvent::ConfigurationLost,
+        LogFields().add("version", m_version));
 }
 
 void ConfigurationChanges::decode(const std::string &document)
@@ -45,8 +48,8 @@
     auto outcome = Base::toOutcome<Pointer>([&] { return m_decoder(document); });
     auto *configuration = std::get_if<Pointer>(&outcome);
     if (!configuration) {
-        m_log.warn("configuration_unusable",
-            fmt::format("reason=\"{}\"", std::get<Base::Failure>(outcome).message));
+        m_log.warn(LogEvent::ConfigurationUnusable,
+            LogFields().add("reason", std::get<Base::Failure>(outcome).message));
         return;
     }
     m_scheduler.schedule(
@@ -55,7 +58,7 @@
                 return;
             m_version = configuration->version();
             m_document = document;
-            m_log.info("configuration_in_force", fmt::format("version={}", m_version));
+            m_log.info(LogEvent::ConfigurationInForce, LogFields().add("version", m_version));
             m_whenNewer(configuration);
         });
 }
--- a/Libraries/Carawaykeel/Ingress/ConfigurationChanges.h
+++ b/Libraries/Carawaykeel/Ingress/ConfigurationChanges.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <Carawaykeel/Adapters/Logger.h>
 #include <Carawaykeel/Base/Result.h>
 #include <Carawaykeel/Base/Scheduler.h>
 #include <Carawaykeel/Forwarding/RouterConfiguration.h>
+#include <Carawaykeel/Logging/Logger.h>
 #include <Carawaykeel/Platform/ChangeFeed.h>
 
 #include <functional>
@@ -22,7 +22,7 @@
 
     /// The configuration's row has this key.
     ConfigurationChanges(std::string key, Base::Scheduler &scheduler, Decoder decoder,
-        std::function<void(Pointer)> whenNewer, const Adapters::Logger &log);
+        std::function<void(Pointer)> whenNewer, const Logging::Logger &log);
 
     void onSnapshot(const std::vector<Platform::Row> &rows) override;
     void onChanges(const std::vector<Platform::RowChange> &changes) override;
@@ -42,7 +42,7 @@
     Base::Scheduler &m_scheduler;
     const Decoder m_decoder;
     const std::function<void(Pointer)> m_whenNewer;
-    const Adapters::Logger &m_log;
+    const Logging::Logger &m_log;
     std::uint64_t m_version = 0;
     std::string m_document;
 };
--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -19,6 +19,7 @@
 /// Less time than this is not worth another attempt.
 constexpr Base::Milliseconds LeastTimeForAttempt{20};
 constexpr int FirstFailureStatus = 300;
+constexpr std::string_view ServedOutcome = "served";
 
 } // namespace
 
@@ -72,6 +73,8 @@
 
 void Exchange::send()
 {
+    if (m_attemptsSent == 0)
+        m_progress.heldFor = elapsed();
     while (!m_isFinished) {
         const auto now = m_context.reactor.now();
         const auto *server =
@@ -93,6 +96,8 @@
         ++m_attemptsSent;
         m_answer = Answer();
         m_lastProgress = now;
+        m_tokensAhead = m_context.servers.tokensBefore(*server, now);
+        m_loadAge = now - server->reportedAt;
         m_unread = m_context.servers.onSent(m_server, m_terms.promptParts, now);
         m_context.backlogs.onChanged();
         m_connection->begin(m_head->getMethod(), m_terms.id, bytes, *this);
@@ -161,6 +166,7 @@
     }
     if (whole.empty() || !m_caller)
         return;
+    m_progress.onEvents(elapsed());
     beginStream();
     m_caller->sendStream(whole);
     if (m_caller && m_caller->isCongested())
@@ -203,7 +209,7 @@
     beginStream();
     m_caller->sendStream(m_events.rest());
     m_caller->endStream();
-    finish("served");
+    finish(ServedOutcome);
 }
 
 void Exchange::onAnswerFailed(Forwarding::AttemptEnd end)
@@ -249,9 +255,17 @@
     state.hasOtherServer =
         timeLeft() > LeastTimeForAttempt && m_context.servers.hasOther(m_service, m_tried);
     const auto decision = Forwarding::decideAfterAttempt(m_route, state);
-    m_context.log.info("attempt_failed",
-        fmt::format("request={} server={} end={} attempts={} step={}", m_terms.id, m_server.text(),
-            static_cast<int>(end), m_attemptsSent, static_cast<int>(decision.step)));
+    m_context.log.info(Logging::LogEvent::AttemptFailed,
+        Logging::LogFields()
+            .add("id", m_terms.id)
+            .add("server", m_server.text())
+            .add("end", Forwarding::nameOf(end))
+            .add("attempts", m_attemptsSent)
+            .add("retries_left", m_context.retries.left(m_service, now))
+            .add("other_server", state.hasOtherServer)
+            .add("may_have_run", m_mayHaveRun)
+            .add("ms_left", timeLeft().count())
+            .add("step", Forwarding::nameOf(decision.step)));
     switch (decision.step) {
     case Forwarding::NextStep::TryAgain:
         if (end != Forwarding::AttemptEnd::NotSent)
@@ -273,7 +287,7 @@
 {
     if (m_caller)
         m_caller->answer(*m_answer.head, m_answer.body);
-    finish("served");
+    finish(ServedOutcome);
 }
 
 void Exchange::onTimeout()
@@ -332,12 +346,36 @@
     --m_context.active;
     m_caller = nullptr;
     settle();
-    m_context.log.info("request",
-        fmt::format("id={} route={} team={} outcome={} server={} attempts={} events={} ms={} "
-                    "tokens={} configuration={} reason=\"{}\"",
-            m_terms.id, m_route.name, m_team.text(), outcome, m_server.text(), m_attemptsSent,
-            m_events.count(), elapsed().count(), m_used.count(),
-            m_configuration ? m_configuration->version() : 0, m_reason));
+    logRequest(outcome);
+}
+
+void Exchange::logRequest(std::string_view outcome)
+{
+    Logging::LogFields fields;
+    fields.add("id", m_terms.id)
+        .add("outcome", outcome)
+        .add("route", m_route.name)
+        .add("team", m_team.text())
+        .add("configuration", m_configuration ? m_configuration->version() : 0)
+        .add("ms", elapsed().count())
+        .add("held_ms", m_progress.heldFor.count())
+        .add("first_event_ms", m_progress.firstEvent.count())
+        .add("longest_pause_ms", m_progress.longestPause.count())
+        .add("events", m_events.count())
+        .add("attempts", m_attemptsSent)
+        .add("server", m_server.text())
+        .add("tokens_ahead", m_tokensAhead)
+        .add("load_age_ms", m_loadAge.count())
+        .add("prompt_tokens", m_terms.promptTokens.count())
+        .add("used_tokens", m_used.count());
+    if (!m_reason.empty())
+        fields.add("reason", m_reason);
+    const bool isOrdinary = outcome == ServedOutcome && m_attemptsSent == 1;
+    if (isOrdinary) {
+        m_context.log.routine(Logging::LogEvent::Request, fields);
+    } else {
+        m_context.log.info(Logging::LogEvent::Request, fields);
+    }
 }
 
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/Exchange.h
+++ b/Libraries/Carawaykeel/Ingress/Exchange.h
@@ -8,6 +8,7 @@
 #include <Carawaykeel/Ingress/ExchangeContext.h>
 #include <Carawaykeel/Ingress/RequestHandler.h>
 #include <Carawaykeel/Ingress/ServerConnection.h>
+#include <Carawaykeel/Ingress/StreamProgress.h>
 
 #include <memory>
 #include <optional>
@@ -68,6 +69,7 @@
     void passAnswerOn();
     void fail(const Base::Failure &failure);
     void finish(std::string_view outcome);
+    void logRequest(std::string_view outcome);
     void settle();
     Base::Milliseconds elapsed() const;
     Base::Milliseconds timeLeft() const;
@@ -99,7 +101,12 @@
     int m_attemptsSent = 0;
     /// Number of the present attempt, so that a timer of an earlier one does nothing.
     std::uint64_t m_attempt = 0;
+    /// What was thought of the server when it was chosen: prompt tokens to be read before this
+    /// request's, and the age of its last report.
+    std::int64_t m_tokensAhead = 0;
+    Base::Milliseconds m_loadAge;
     Base::Milliseconds m_lastProgress;
+    StreamProgress m_progress;
     Answer m_answer;
     /// Joins the events of all attempts.
     Forwarding::EventSplitter m_events;
--- a/Libraries/Carawaykeel/Ingress/ExchangeContext.h
+++ b/Libraries/Carawaykeel/Ingress/ExchangeContext.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <Carawaykeel/Adapters/Logger.h>
 #include <Carawaykeel/Base/BackOff.h>
 #include <Carawaykeel/Budget/TokenPurse.h>
 #include <Carawaykeel/Forwarding/Dialect.h>
@@ -9,6 +8,7 @@
 #include <Carawaykeel/Forwarding/ServerFleet.h>
 #include <Carawaykeel/Ingress/BacklogReports.h>
 #include <Carawaykeel/Ingress/ServerConnections.h>
+#include <Carawaykeel/Logging/Logger.h>
 #include <Carawaykeel/Net/Reactor.h>
 
 #include <memory>
@@ -25,7 +25,7 @@
     BacklogReports &backlogs;
     ServerConnections &connections;
     Budget::TokenPurse &purse;
-    const Adapters::Logger &log;
+    const Logging::Logger &log;
     Base::RandomEngine &random;
     /// Null until the first configuration is known.
     std::shared_ptr<const Forwarding::RouterConfiguration> configuration;
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -4,12 +4,14 @@
 
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
-#include <fmt/core.h>
 #include <random>
 #include <utility>
 
 namespace Carawaykeel::Ingress {
 
+using Logging::LogEvent;
+using Logging::LogFields;
+
 namespace {
 
 constexpr Base::Milliseconds TidyInterval{500};
@@ -50,13 +52,14 @@
     return self;
 }
 
-Router::Router(RouterSettings settings, Net::Reactor &reactor, RouterInterfaces interfaces)
+Router::Router(RouterSettings settings, Net::Reactor &reactor, RouterInterfaces interfaces,
+    Logging::LogSink &logSink)
     : m_settings(std::move(settings))
     , m_reactor(reactor)
     , m_interfaces(std::move(interfaces))
     , m_random(std::random_device{}())
     , m_self(describeSelf(m_settings))
-    , m_log(m_self.id)
+    , m_log(m_self.id, logSink)
     , m_codec(m_settings.peerKey)
     , m_servers(m_settings.dataCentre, m_settings.choice, m_random)
     , m_retries(m_settings.retries)
@@ -113,7 +116,10 @@
         m_servers.onPeerBacklogs(from, backlogs, m_reactor.now());
     };
     events.onMissed = [this](const Base::InstanceId &missed) {
-        m_log.info("instance_missed", fmt::format("name={}", missed.name.text()));
+        m_log.warn(LogEvent::InstanceMissed,
+            LogFields()
+                .add("missed", missed.name.text())
+                .add("missed_incarnation", missed.incarnation));
     };
     return events;
 }
@@ -156,21 +162,27 @@
         }
         return;
     }
-    m_log.warn("peer_message_unexpected",
-        fmt::format("from={} kind={}", from.name.text(), envelope.message.index()));
+    m_log.warn(LogEvent::PeerMessageUnexpected,
+        LogFields().add("from", from.name.text()).add("kind", envelope.message.index()));
 }
 
 void Router::start()
 {
-    m_log.info("started",
-        fmt::format("callers={} entry={} gossip={} data_centre={}", m_settings.callersAddress,
-            m_settings.entryAddress, m_settings.gossipAddress, m_settings.dataCentre.text()));
+    m_log.info(LogEvent::Started,
+        LogFields()
+            .add("callers", m_settings.callersAddress)
+            .add("entry", m_settings.entryAddress)
+            .add("gossip", m_settings.gossipAddress)
+            .add("data_centre", m_settings.dataCentre.text()));
     m_allotments.observeClosings(
         [this](const Base::TeamId &team, const Budget::Allotment &allotment, Base::Tokens counted) {
-            m_log.info("allotment_closed",
-                fmt::format("team={} incarnation={} reported={} counted={} whole={}", team.text(),
-                    allotment.holder.incarnation, allotment.spent.count(), counted.count(),
-                    allotment.whole().count()));
+            m_log.info(LogEvent::AllotmentClosed,
+                LogFields()
+                    .add("team", team.text())
+                    .add("closed_incarnation", allotment.holder.incarnation)
+                    .add("reported", allotment.spent.count())
+                    .add("counted", counted.count())
+                    .add("whole", allotment.whole().count()));
         });
     m_membership->start();
     m_allotments.start();
@@ -188,9 +200,11 @@
         prepaid.push_back({team.name, *team.prepaid});
         const auto *known = before ? before->findTeamByName(team.name) : nullptr;
         if (!known || known->prepaid != team.prepaid) {
-            m_log.info("prepaid",
-                fmt::format("team={} tokens={} configuration={}", team.name.text(),
-                    team.prepaid->count(), configuration->version()));
+            m_log.info(LogEvent::Prepaid,
+                LogFields()
+                    .add("team", team.name.text())
+                    .add("tokens", team.prepaid->count())
+                    .add("configuration", configuration->version()));
         }
     }
     m_allotments.setPrepaid(prepaid);
@@ -240,7 +254,7 @@
 {
     if (std::exchange(m_isLeaving, true))
         return;
-    m_log.info("leaving", fmt::format("active={}", m_context.active));
+    m_log.info(LogEvent::Leaving, LogFields().add("active", m_context.active));
     m_membership->announceLeaving();
     m_forward.startLeaving();
     m_reactor.schedule(CloseIdleAfter, [this] { m_callers.closeIdle(); });
@@ -265,7 +279,8 @@
 void Router::handBack(Base::Milliseconds deadline)
 {
     m_allotments.handBack([this](bool isHandedBack) {
-        m_log.info("left", fmt::format("handed_back={} active={}", isHandedBack, m_context.active));
+        m_log.info(LogEvent::Left,
+            LogFields().add("handed_back", isHandedBack).add("active", m_context.active));
         m_reactor.stop();
     });
     m_reactor.schedule(deadline - m_reactor.now(), [this] { m_reactor.stop(); });
--- a/Libraries/Carawaykeel/Ingress/Router.h
+++ b/Libraries/Carawaykeel/Ingress/Router.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <Carawaykeel/Adapters/Logger.h>
 #include <Carawaykeel/Adapters/TcpPeerLink.h>
 #include <Carawaykeel/Adapters/UdpGossipLink.h>
 #include <Carawaykeel/Budget/AllotmentHolder.h>
@@ -11,6 +10,7 @@
 #include <Carawaykeel/Ingress/ForwardHandler.h>
 #include <Carawaykeel/Ingress/RouterSettings.h>
 #include <Carawaykeel/Ingress/ServerChanges.h>
+#include <Carawaykeel/Logging/Logger.h>
 #include <Carawaykeel/Membership/Membership.h>
 #include <Carawaykeel/Peer/SealedCodec.h>
 
@@ -36,7 +36,8 @@
 public:
     /// The reactor and the interfaces outlive the router. Throws Poco::Net::NetException when an
     /// address cannot be listened on.
-    Router(RouterSettings settings, Net::Reactor &reactor, RouterInterfaces interfaces);
+    Router(RouterSettings settings, Net::Reactor &reactor, RouterInterfaces interfaces,
+        Logging::LogSink &logSink);
 
     /// Take changes of the table service's rows; any thread may call them.
     Platform::ChangeListener &serverChanges() { return m_serverChanges; }
@@ -67,7 +68,7 @@
     RouterInterfaces m_interfaces;
     Base::RandomEngine m_random;
     const Membership::Member m_self;
-    Adapters::Logger m_log;
+    Logging::Logger m_log;
     Peer::SealedCodec m_codec;
     Forwarding::ServerFleet m_servers;
     Forwarding::RetryWindow m_retries;
--- a/Libraries/Carawaykeel/Ingress/RouterSettings.h
+++ b/Libraries/Carawaykeel/Ingress/RouterSettings.h
@@ -5,6 +5,7 @@
 #include <Carawaykeel/Budget/AllotmentPolicy.h>
 #include <Carawaykeel/Forwarding/RetryWindow.h>
 #include <Carawaykeel/Forwarding/ServerFleet.h>
+#include <Carawaykeel/Logging/LogBudget.h>
 
 #include <cstddef>
 #include <string>
@@ -40,6 +41,7 @@
     Forwarding::RetryPolicy retries;
     Forwarding::ChoicePolicy choice;
     Budget::AllotmentPolicy allotments;
+    Logging::LogPolicy log;
 };
 
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/RouterSettingsParser.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterSettingsParser.cpp
@@ -58,6 +58,17 @@
     reader.finish();
 }
 
+void readLog(ObjectReader reader, Logging::LogPolicy &policy)
+{
+    constexpr std::int64_t BytesPerKilobyte = 1'024;
+    policy.linesPerSecond =
+        reader.optionalInteger("lines_per_second", policy.linesPerSecond, 1, 1'000'000);
+    const auto queued = static_cast<std::int64_t>(policy.queuedBytes) / BytesPerKilobyte;
+    policy.queuedBytes = static_cast<std::size_t>(
+        reader.optionalInteger("queued_kb", queued, 1, 1'000'000) * BytesPerKilobyte);
+    reader.finish();
+}
+
 } // namespace
 
 ParsedRouterSettings parseRouterSettings(std::string_view document)
@@ -84,6 +95,7 @@
     readPeers(root.requireObject("peers"), settings);
     readRetries(root.optionalObject("retries"), settings.retries);
     readAllotments(root.optionalObject("allotments"), settings.allotments);
+    readLog(root.optionalObject("log"), settings.log);
     readSeconds(root, "shut_down_limit_s", settings.shutDownLimit);
     root.finish();
     return parsed;
--- a/Libraries/Carawaykeel/Ingress/ServerChanges.cpp
+++ b/Libraries/Carawaykeel/Ingress/ServerChanges.cpp
@@ -6,6 +6,9 @@
 
 namespace Carawaykeel::Ingress {
 
+using Logging::LogEvent;
+using Logging::LogFields;
+
 namespace {
 
 /// Names one life of a server: one that starts again may keep its name.
@@ -17,7 +20,7 @@
 } // namespace
 
 ServerChanges::ServerChanges(Base::Scheduler &scheduler, Forwarding::ServerFleet &fleet,
-    Decoder decoder, Relay relay, const Adapters::Logger &log)
+    Decoder decoder, Relay relay, const Logging::Logger &log)
     : m_scheduler(scheduler)
     , m_fleet(fleet)
     , m_decoder(std::move(decoder))
@@ -75,8 +78,8 @@
         m_isReached = isReached;
         m_wasAway = m_wasAway || !isReached;
         m_reachedSince = m_scheduler.now();
-        m_log.info(isReached ? "server_list_reached" : "server_list_lost",
-            fmt::format("announced={}", m_announced.size()));
+        m_log.info(isReached ? LogEvent::ServerListReached : LogEvent::ServerListLost,
+            LogFields().add("announced", m_announced.size()));
     });
 }
 
@@ -85,17 +88,21 @@
 {
     const auto *entry = std::get_if<Forwarding::ServerEntry>(&outcome);
     if (!entry) {
-        m_log.warn("server_entry_unusable",
-            fmt::format("server={} reason=\"{}\"", key, std::get<Base::Failure>(outcome).message));
+        m_log.warn(LogEvent::ServerEntryUnusable,
+            LogFields().add("server", key).add("reason", std::get<Base::Failure>(outcome).message));
         return remove(key);
     }
     m_announced[key] = ++m_changes;
     m_fleet.put(*entry);
     if (entry->isLeaving)
         m_relay(lifeOf(*entry));
-    m_log.info("server_announced",
-        fmt::format("server={} service={} address={} leaving={} slots={}", key,
-            entry->service.text(), entry->address, entry->isLeaving, entry->slots));
+    m_log.info(LogEvent::ServerAnnounced,
+        LogFields()
+            .add("server", key)
+            .add("service", entry->service.text())
+            .add("address", entry->address)
+            .add("leaving", entry->isLeaving)
+            .add("slots", entry->slots));
 }
 
 void ServerChanges::onRelayed(const Base::ServerName &life)
@@ -109,7 +116,7 @@
     auto leaving = *entry;
     leaving.isLeaving = true;
     m_fleet.put(leaving);
-    m_log.info("server_leaving_relayed", fmt::format("server={}", name.text()));
+    m_log.info(LogEvent::ServerLeavingRelayed, LogFields().add("server", name.text()));
 }
 
 void ServerChanges::onDelivered(const std::vector<Forwarding::ServerEntry> &servers)
@@ -120,7 +127,7 @@
         m_announced[entry.name.text()] = ++m_changes;
         m_fleet.put(entry);
     }
-    m_log.info("server_list_delivered", fmt::format("servers={}", servers.size()));
+    m_log.info(LogEvent::ServerListDelivered, LogFields().add("servers", servers.size()));
 }
 
 void ServerChanges::remove(const std::string &key)
@@ -135,8 +142,8 @@
     if (it == m_announced.end())
         return;
     const bool mayHaveLapsed = m_wasAway && m_scheduler.now() - m_reachedSince < LapseGrace;
-    m_log.info(
-        "server_entry_removed", fmt::format("server={} may_have_lapsed={}", key, mayHaveLapsed));
+    m_log.info(LogEvent::ServerEntryRemoved,
+        LogFields().add("server", key).add("may_have_lapsed", mayHaveLapsed));
     if (!mayHaveLapsed) {
         if (const auto *entry = m_fleet.find(Base::ServerName(key)))
             m_relay(lifeOf(*entry));
--- a/Libraries/Carawaykeel/Ingress/ServerChanges.h
+++ b/Libraries/Carawaykeel/Ingress/ServerChanges.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <Carawaykeel/Adapters/Logger.h>
 #include <Carawaykeel/Base/Result.h>
 #include <Carawaykeel/Base/Scheduler.h>
 #include <Carawaykeel/Forwarding/ServerFleet.h>
+#include <Carawaykeel/Logging/Logger.h>
 #include <Carawaykeel/Platform/ChangeFeed.h>
 
 #include <functional>
@@ -28,7 +28,7 @@
     using Relay = std::function<void(const Base::ServerName &life)>;
 
     ServerChanges(Base::Scheduler &scheduler, Forwarding::ServerFleet &fleet, Decoder decoder,
-        Relay relay, const Adapters::Logger &log);
+        Relay relay, const Logging::Logger &log);
 
     void onSnapshot(const std::vector<Platform::Row> &rows) override;
     void onChanges(const std::vector<Platform::RowChange> &changes) override;
@@ -55,7 +55,7 @@
     Forwarding::ServerFleet &m_fleet;
     const Decoder m_decoder;
     const Relay m_relay;
-    const Adapters::Logger &m_log;
+    const Logging::Logger &m_log;
     /// Announced servers, and the number of the change that announced them last.
     std::map<std::string, std::uint64_t> m_announced;
     std::uint64_t m_changes = 0;
--- /dev/null
+++ b/Libraries/Carawaykeel/Logging/LogEvent.cpp
@@ -0,0 +1,64 @@
+#include <Carawaykeel/Logging/LogEvent.h>
+
+namespace Carawaykeel::Logging {
+
+std::string_view nameOf(LogEvent event)
+{
+    switch (event) {
+    case LogEvent::Started:
+        return "started";
+    case LogEvent::Leaving:
+        return "leaving";
+    case LogEvent::Left:
+        return "left";
+    case LogEvent::SettingsReloaded:
+        return "settings_reloaded";
+    case LogEvent::SettingsRefused:
+        return "settings_refused";
+    case LogEvent::Request:
+        return "request";
+    case LogEvent::AttemptFailed:
+        return "attempt_failed";
+    case LogEvent::ConfigurationInForce:
+        return "configuration_in_force";
+    case LogEvent::ConfigurationUnusable:
+        return "configuration_unusable";
+    case LogEvent::ConfigurationReached:
+        return "configuration_reached";
+    case LogEvent::ConfigurationLost:
+        return "configuration_lost";
+    case LogEvent::ServerAnnounced:
+        return "server_announced";
+    case LogEvent::ServerEntryUnusable:
+        return "server_entry_unusable";
+    case LogEvent::ServerEntryRemoved:
+        return "server_entry_removed";
+    case LogEvent::ServerLeavingRelayed:
+        return "server_leaving_relayed";
+    case LogEvent::ServerListDelivered:
+        return "server_list_delivered";
+    case LogEvent::ServerListReached:
+        return "server_list_reached";
+    case LogEvent::ServerListLost:
+        return "server_list_lost";
+    case LogEvent::Prepaid:
+        return "prepaid";
+    case LogEvent::AllotmentClosed:
+        return "allotment_closed";
+    case LogEvent::AllotmentTableReached:
+        return "allotment_table_reached";
+    case LogEvent::AllotmentTableLost:
+        return "allotment_table_lost";
+    case LogEvent::InstanceMissed:
+        return "instance_missed";
+    case LogEvent::PeerMessageUnexpected:
+        return "peer_message_unexpected";
+    case LogEvent::MetricsUnavailable:
+        return "metrics_unavailable";
+    case LogEvent::LinesLeftOut:
+        return "lines_left_out";
+    }
+    return "unknown";
+}
+
+} // namespace Carawaykeel::Logging
--- /dev/null
+++ b/Libraries/Carawaykeel/Logging/LogEvent.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <string_view>
+
+namespace Carawaykeel::Logging {
+
+/// The closed list of what log lines tell of; docs/OPERATIONS.md says what each one means.
+enum class LogEvent {
+    Started,
+    Leaving,
+    Left,
+    SettingsReloaded,
+    SettingsRefused,
+    Request,
+    AttemptFailed,
+    ConfigurationInForce,
+    ConfigurationUnusable,
+    ConfigurationReached,
+    ConfigurationLost,
+    ServerAnnounced,
+    ServerEntryUnusable,
+    ServerEntryRemoved,
+    ServerLeavingRelayed,
+    ServerListDelivered,
+    ServerListReached,
+    ServerListLost,
+    Prepaid,
+    AllotmentClosed,
+    AllotmentTableReached,
+    AllotmentTableLost,
+    InstanceMissed,
+    PeerMessageUnexpected,
+    MetricsUnavailable,
+    LinesLeftOut,
+};
+
+/// The name of an event in a log line.
+std::string_view nameOf(LogEvent event);
+
+} // namespace Carawaykeel::Logging
--- /dev/null
+++ b/Libraries/Carawaykeel/Logging/LogFields.cpp
@@ -0,0 +1,36 @@
+#include <Carawaykeel/Logging/LogFields.h>
+
+#include <algorithm>
+
+namespace Carawaykeel::Logging {
+
+namespace {
+
+constexpr unsigned char FirstPrintable = 0x20;
+
+bool needsQuotes(char each)
+{
+    return static_cast<unsigned char>(each) <= FirstPrintable || each == '"' || each == '=';
+}
+
+} // namespace
+
+LogFields &LogFields::add(std::string_view key, std::string_view text)
+{
+    fmt::format_to(std::back_inserter(m_text), " {}=", key);
+    if (!text.empty() && std::ranges::none_of(text, needsQuotes)) {
+        m_text.append(text);
+        return *this;
+    }
+    m_text.push_back('"');
+    for (const char each : text) {
+        if (each == '"' || each == '\\')
+            m_text.push_back('\\');
+        // What would end the line, or move a terminal's cursor, becomes a blank.
+        m_text.push_back(static_cast<unsigned char>(each) < FirstPrintable ? ' ' : each);
+    }
+    m_text.push_back('"');
+    return *this;
+}
+
+} // namespace Carawaykeel::Logging
--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -8,7 +8,7 @@
 fleet_run() {
     local name=$1
     shift
-    "$@" 2>"$fleet_work/$name.log" >"$fleet_work/$name.out" &
+    "$@" >"$fleet_work/$name.log" 2>&1 &
     fleet_pids+=($!)
     echo $! >"$fleet_work/$name.pid"
 }
--- a/Services/Carawaykeeld/RouterProcess.cpp
+++ b/Services/Carawaykeeld/RouterProcess.cpp
@@ -5,6 +5,7 @@
 #include <Carawaykeel/Configuration/Fault.h>
 #include <Carawaykeel/Ingress/Router.h>
 #include <Carawaykeel/Ingress/RouterSettingsParser.h>
+#include <Carawaykeel/Logging/StreamLogSink.h>
 #include <platform/ConfigurationDecoder.h>
 #include <platform/PlatformDialect.h>
 #include <platform/ServerEntryDecoder.h>
@@ -20,11 +21,15 @@
 #include <fstream>
 #include <iterator>
 #include <thread>
+#include <unistd.h>
 
 namespace Carawaykeel {
 
 namespace {
 
+/// How long the end of the process waits for the reader of its log.
+constexpr Base::Milliseconds LastFlush{200};
+
 namespace Names = CarawaykeelPlatform::WireNames;
 
 void waitForSignals(const sigset_t &signals, Net::Reactor &reactor, Ingress::Router &router)
@@ -39,6 +44,7 @@
 
 int serve(const Ingress::RouterSettings &settings)
 {
+    Logging::StreamLogSink logSink(STDOUT_FILENO, settings.log);
     sigset_t signals;
     sigemptyset(&signals);
     for (const int each : {SIGTERM, SIGINT, SIGHUP})
@@ -51,7 +57,8 @@
     CarawaykeelPlatform::StoreClient store(settings.tableAddress, settings.tableTimeout, reactor);
     Ingress::Router router(settings, reactor,
         {dialect, store, CarawaykeelPlatform::tryDecodeServerEntry,
-            CarawaykeelPlatform::tryDecodeConfiguration, Names::ConfigurationKey});
+            CarawaykeelPlatform::tryDecodeConfiguration, Names::ConfigurationKey},
+        logSink);
     const CarawaykeelPlatform::StoreFeed configuration(settings.tableAddress, Names::OperatorTable,
         settings.tableTimeout, router.configurationChanges());
     const CarawaykeelPlatform::StoreFeed servers(
@@ -60,7 +67,7 @@
     router.start();
     reactor.run();
     // The other threads wait on sockets and signals, so the process ends without undoing them.
-    std::fflush(stdout);
+    logSink.flush(LastFlush);
     std::_Exit(ExitOk);
 }
 
--- a/Services/Carawaykeeld/main.cpp
+++ b/Services/Carawaykeeld/main.cpp
@@ -74,7 +74,7 @@
         const bool isHandedBack = daemon.wait();
         // NOTE: The detached thread still refers to the daemon, so the process ends without undoing
         // it.
-        std::fflush(stderr);
+        daemon.flushLog();
         std::_Exit(isHandedBack ? ExitOk : ExitNotHandedBack);
     } catch (const Poco::Exception &ex) {
         fmt::print(stderr, "level=fatal event=cannot_start reason=\"{}\"\n", ex.displayText());
--- a/Tests/Forwarding/PromptPlacementTest.cpp
+++ b/Tests/Forwarding/PromptPlacementTest.cpp
@@ -46,8 +46,8 @@
                 tokens += count;
             before += count;
         }
-        const auto time = tokens / TokensPerMillisecond
-            + tokens * before / 1e6 * MillisecondsPerMillionPairs;
+        const auto time =
+            tokens / TokensPerMillisecond + tokens * before / 1e6 * MillisecondsPerMillionPairs;
         freeAt = std::max(freeAt, now) + Base::Milliseconds(static_cast<std::int64_t>(time));
         return freeAt;
     }
@@ -97,8 +97,7 @@
     void sendOne()
     {
         std::lognormal_distribution<double> own(std::log(MedianOwnTokens), OwnTokensSpread);
-        const auto ownTokens =
-            std::min(static_cast<std::int64_t>(own(m_random)), MostOwnTokens);
+        const auto ownTokens = std::min(static_cast<std::int64_t>(own(m_random)), MostOwnTokens);
         const std::vector<Forwarding::PromptPart> prompt{
             {static_cast<std::uint64_t>(m_world.draw(1, SharedParts)), Base::Tokens(SharedTokens)},
             {++m_lastPart, Base::Tokens(ownTokens)}};
--- a/Tests/Ingress/ServerChangesTest.cpp
+++ b/Tests/Ingress/ServerChangesTest.cpp
@@ -1,4 +1,5 @@
 #include <Carawaykeel/Ingress/ServerChanges.h>
+#include <Support/MemoryLogSink.h>
 #include <Support/VirtualWorld.h>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -58,7 +59,8 @@
     WorldScheduler scheduler{world};
     Base::RandomEngine random{1};
     Forwarding::ServerFleet fleet{Base::DataCentre("dc"), {}, random};
-    Adapters::Logger log{{Base::InstanceName("test"), 1}};
+    MemoryLogSink logSink;
+    Logging::Logger log{{Base::InstanceName("test"), 1}, logSink};
     std::vector<Base::ServerName> relayed;
     Ingress::ServerChanges changes{scheduler, fleet, decode,
         [this](const Base::ServerName &life) { relayed.push_back(life); }, log};
--- a/Tests/Support/RouterHarness.h
+++ b/Tests/Support/RouterHarness.h
@@ -5,6 +5,8 @@
 #include <Carawaykeel/Ingress/ForwardHandler.h>
 #include <platform/PlatformDialect.h>
 
+#include <Support/MemoryLogSink.h>
+
 #include <memory>
 #include <string>
 #include <thread>
@@ -61,7 +63,8 @@
     Ingress::BacklogReports m_backlogs;
     Ingress::ServerConnections m_connections;
     FreePurse m_purse;
-    Adapters::Logger m_log;
+    MemoryLogSink m_logSink;
+    Logging::Logger m_log;
     Ingress::ExchangeContext m_context;
     Ingress::ForwardHandler m_handler;
     Ingress::ClientConnections m_callers;
