Metrics: Serve the router's counters and histograms on an address of the settings

Cause: the router counted nothing that an operator could read. Change: outcomes, repeats and latency histograms by service (at most 32), tokens, reports, holds, beliefs about servers and configuration, as Prometheus text under /metrics. The histogram and the page's text move out of Adapters, so that both daemons use one copy. An address that cannot be listened on is logged and serves nobody; requests go on. Tests: RouterMetricsTest.

--- a/Libraries/Carawaykeel/Adapters/MetricsPage.cpp
+++ b/Libraries/Carawaykeel/Adapters/MetricsPage.cpp
@@ -1,39 +1,14 @@
 #include <Carawaykeel/Adapters/MetricsPage.h>
 
+#include <Carawaykeel/Metrics/MetricsText.h>
+
 #include <fmt/core.h>
 
 namespace Carawaykeel::Adapters {
 
 namespace {
 
-/// Gathers the lines of a page.
-class Page
-{
-public:
-    void counter(std::string_view name, std::string_view help, std::uint64_t value)
-    {
-        add(name, help, "counter", value);
-    }
-    void gauge(std::string_view name, std::string_view help, std::uint64_t value)
-    {
-        add(name, help, "gauge", value);
-    }
-    void append(std::string_view lines) { m_text += lines; }
-    std::string take() { return std::move(m_text); }
-
-private:
-    void add(
-        std::string_view name, std::string_view help, std::string_view type, std::uint64_t value)
-    {
-        m_text += fmt::format(
-            "# HELP carawaykeel_{0} {1}\n# TYPE carawaykeel_{0} {2}\ncarawaykeel_{0} {3}\n", name,
-            help, type, value);
-    }
-
-    std::string m_text;
-};
-
-void addFailures(Page &page, const PathMetrics &path)
+void addFailures(Metrics::MetricsText &page, const PathMetrics &path)
 {
     page.append("# HELP carawaykeel_refusals_total Requests answered with an error, by kind.\n"
                 "# TYPE carawaykeel_refusals_total counter\n");
@@ -47,7 +22,7 @@
 
 std::string metricsPage(const MetricsSources &sources)
 {
-    Page page;
+    Metrics::MetricsText page;
     const auto &budgets = sources.instance.budgets().counters();
     const auto &dispatch = sources.instance.dispatcher().counters();
     page.counter("requests_total", "Requests of callers.", sources.path.requests);
--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.cpp
@@ -98,6 +98,7 @@
     const auto borrowed = waiting.tokens - own;
     account.spent += own;
     account.borrowed -= borrowed;
+    ++m_counters.granted;
     waiting.answer(TokenHold{team, waiting.tokens, borrowed});
     return true;
 }
@@ -270,10 +271,13 @@
             if (!account.possible.empty())
                 account.possible.erase(account.possible.begin(), std::prev(account.possible.end()));
         }
-        for (const auto &closing : m_closings)
+        for (const auto &closing : m_closings) {
+            m_counters.tokensWrittenOff += (closing.counted - closing.allotment.spent).count();
             m_onClosing(closing.team, closing.allotment, closing.counted);
+        }
         return finishReport(true);
     case Platform::CommitOutcome::Conflict:
+        ++m_counters.reportConflicts;
         // It has not landed and never will.
         for (const auto &team : m_written) {
             auto &account = m_accounts.at(team);
@@ -302,7 +306,9 @@
 void AllotmentHolder::finishReport(bool isReached)
 {
     m_isReporting = false;
-    m_isTableReached = isReached;
+    ++(isReached ? m_counters.reports : m_counters.reportsUnanswered);
+    if (std::exchange(m_isTableReached, isReached) != isReached)
+        m_onTable(isReached);
     if (!isReached)
         m_notBefore = m_scheduler.now() + m_policy.outagePause;
     if (m_isHandingBack) {
@@ -326,6 +332,7 @@
     const auto elsewhere = account.row.unspent();
     const bool isCertain =
         m_isTableReached && std::max(unallotted, Base::Tokens()) + elsewhere < waiting.tokens;
+    ++(isCertain ? m_counters.refusedExhausted : m_counters.refusedUnreachable);
     if (isCertain) {
         return waiting.answer(Base::Failure{Base::ErrorKind::BudgetExhausted,
             describeShortage("the team's rest does not cover the request", waiting, account), {}});
--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.h
@@ -7,6 +7,7 @@
 #include <Carawaykeel/Budget/ServiceClock.h>
 #include <Carawaykeel/Budget/TokenLending.h>
 #include <Carawaykeel/Budget/TokenPurse.h>
+#include <Carawaykeel/Metrics/MetricsText.h>
 #include <Carawaykeel/Platform/TableService.h>
 
 #include <deque>
@@ -26,6 +27,19 @@
     Base::Tokens tokens;
 };
 
+/// What happened since the start.
+struct AllotmentCounters
+{
+    std::uint64_t granted = 0;
+    std::uint64_t refusedExhausted = 0;
+    std::uint64_t refusedUnreachable = 0;
+    std::uint64_t reports = 0;
+    std::uint64_t reportsUnanswered = 0;
+    std::uint64_t reportConflicts = 0;
+    /// Tokens of dead lives that were counted as spent and had not been reported so.
+    std::int64_t tokensWrittenOff = 0;
+};
+
 /// Holds this instance's allotments of all teams and reports their use. All reports and new
 /// allotments of an instance go in one transaction.
 class AllotmentHolder : public TokenPurse, public LoanSource
@@ -43,6 +57,12 @@
         const Base::TeamId &team, const Allotment &allotment, Base::Tokens counted)>;
     void observeClosings(ClosingObserver observer) { m_onClosing = std::move(observer); }
 
+    /// Is told when the table answers again after it did not, and the other way round.
+    void observeTable(std::function<void(bool)> observer) { m_onTable = std::move(observer); }
+
+    /// Totals over all teams, and what became of holds and reports.
+    void writeMetrics(Metrics::MetricsText &text) const;
+
     /// Begins the periodic reports. Call once.
     void start();
 
@@ -155,6 +175,8 @@
     std::function<void(bool)> m_handBackAnswer;
     /// Allotments that the commit under way closes by estimate.
     std::vector<Closing> m_closings;
+    std::function<void(bool)> m_onTable = [](bool) {};
+    AllotmentCounters m_counters;
     ClosingObserver m_onClosing = [](const auto &, const auto &, auto) {};
 };
 
--- /dev/null
+++ b/Libraries/Carawaykeel/Budget/AllotmentMetrics.cpp
@@ -0,0 +1,39 @@
+// The part of AllotmentHolder that counts.
+#include <Carawaykeel/Budget/AllotmentHolder.h>
+
+#include <algorithm>
+
+namespace Carawaykeel::Budget {
+
+void AllotmentHolder::writeMetrics(Metrics::MetricsText &text) const
+{
+    Base::Tokens spent;
+    Base::Tokens atHand;
+    Base::Tokens borrowed;
+    std::size_t waiting = 0;
+    for (const auto &[team, account] : m_accounts) {
+        spent += account.spent;
+        atHand += std::max(spendable(account), Base::Tokens());
+        borrowed += account.borrowed;
+        waiting += account.waiting.size();
+    }
+    text.gauge("tokens_spent", "Tokens spent or set aside in this life.", spent.count());
+    text.gauge("tokens_at_hand", "Tokens that may be spent now.", atHand.count());
+    text.gauge("tokens_borrowed", "Tokens lent by others and not spent.", borrowed.count());
+    text.gauge("holds_waiting", "Requests that wait for tokens.", static_cast<std::int64_t>(waiting));
+    text.gauge("allotment_table_reached", "1 while the table answers.", m_isTableReached ? 1 : 0);
+    text.counter("holds_granted_total", "Requests that got their tokens.", m_counters.granted);
+    text.counter("holds_exhausted_total", "Requests whose team had too little left.",
+        m_counters.refusedExhausted);
+    text.counter("holds_unreachable_total", "Requests whose team's tokens were out of reach.",
+        m_counters.refusedUnreachable);
+    text.counter("allotment_reports_total", "Reports that the table took.", m_counters.reports);
+    text.counter("allotment_reports_unanswered_total", "Reports without an answer.",
+        m_counters.reportsUnanswered);
+    text.counter("allotment_conflicts_total", "Reports that another instance's crossed.",
+        m_counters.reportConflicts);
+    text.counter("tokens_written_off_total", "Tokens of dead lives counted as spent unreported.",
+        static_cast<std::uint64_t>(std::max<std::int64_t>(m_counters.tokensWrittenOff, 0)));
+}
+
+} // namespace Carawaykeel::Budget
--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -346,6 +346,8 @@
     --m_context.active;
     m_caller = nullptr;
     settle();
+    m_context.metrics.note(
+        {m_service, outcome, elapsed(), m_progress.firstEvent, m_progress.heldFor, m_attemptsSent});
     logRequest(outcome);
 }
 
--- a/Libraries/Carawaykeel/Ingress/ExchangeContext.h
+++ b/Libraries/Carawaykeel/Ingress/ExchangeContext.h
@@ -7,6 +7,7 @@
 #include <Carawaykeel/Forwarding/RouterConfiguration.h>
 #include <Carawaykeel/Forwarding/ServerFleet.h>
 #include <Carawaykeel/Ingress/BacklogReports.h>
+#include <Carawaykeel/Ingress/RouterMetrics.h>
 #include <Carawaykeel/Ingress/ServerConnections.h>
 #include <Carawaykeel/Logging/Logger.h>
 #include <Carawaykeel/Net/Reactor.h>
@@ -23,6 +24,7 @@
     Forwarding::ServerFleet &servers;
     Forwarding::RetryWindow &retries;
     BacklogReports &backlogs;
+    RouterMetrics &metrics;
     ServerConnections &connections;
     Budget::TokenPurse &purse;
     const Logging::Logger &log;
--- /dev/null
+++ b/Libraries/Carawaykeel/Ingress/MetricsHandler.cpp
@@ -0,0 +1,42 @@
+#include <Carawaykeel/Ingress/MetricsHandler.h>
+
+#include <Carawaykeel/Ingress/FailureAnswer.h>
+#include <Carawaykeel/Metrics/MetricsText.h>
+
+#include <utility>
+
+namespace Carawaykeel::Ingress {
+
+namespace {
+
+constexpr std::string_view Path = "/metrics";
+
+} // namespace
+
+MetricsHandler::MetricsHandler(
+    const Forwarding::Dialect &dialect, std::function<std::string()> page)
+    : m_dialect(dialect)
+    , m_page(std::move(page))
+{
+}
+
+std::shared_ptr<ActiveRequest> MetricsHandler::handle(
+    Http::RequestHead head, std::string, Caller &caller)
+{
+    if (head->getURI() != Path || head->getMethod() != Poco::Net::HTTPRequest::HTTP_GET) {
+        refuse(Base::ErrorKind::NotFound, caller);
+        return nullptr;
+    }
+    Poco::Net::HTTPResponse answer(Poco::Net::HTTPResponse::HTTP_OK);
+    answer.setContentType(std::string(Metrics::MetricsText::ContentType));
+    caller.answer(answer, m_page());
+    return nullptr;
+}
+
+void MetricsHandler::refuse(Base::ErrorKind kind, Caller &caller)
+{
+    auto answer = makeFailureAnswer({kind, "", Base::Milliseconds()}, m_dialect);
+    caller.answer(*answer.head, answer.body);
+}
+
+} // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -73,8 +73,8 @@
     , m_allotments(
           m_self.id, reactor, m_interfaces.table, m_peers,
           [this] { return m_membership->livePeers(); }, m_settings.allotments, m_random)
-    , m_context{reactor, m_interfaces.dialect, m_servers, m_retries, m_backlogs, m_connections,
-          m_allotments, m_log, m_random, nullptr, false, 0}
+    , m_context{reactor, m_interfaces.dialect, m_servers, m_retries, m_backlogs, m_metrics,
+          m_connections, m_allotments, m_log, m_random, nullptr, false, 0}
     , m_serverChanges(
           reactor, m_servers, m_interfaces.serverDecoder,
           [this](const Base::ServerName &life) { m_membership->spreadLeavingServer(life); }, m_log)
@@ -97,6 +97,7 @@
     , m_entryQuestions(
           reactor, m_settings.entryAddress, m_entry, [this] { return limits(); },
           m_settings.connections)
+    , m_metricsHandler(m_interfaces.dialect, [this] { return metricsPage(); })
 {
     m_membership = std::make_unique<Membership::Membership>(m_self, gossipSeeds(m_settings),
         Membership::MembershipPolicy(), reactor, m_random, m_gossip, membershipEvents());
@@ -184,6 +185,8 @@
                     .add("counted", counted.count())
                     .add("whole", allotment.whole().count()));
         });
+    m_allotments.observeTable([this](bool isReached) { onTableReached(isReached); });
+    listenForMetrics();
     m_membership->start();
     m_allotments.start();
     tidy();
--- a/Libraries/Carawaykeel/Ingress/Router.h
+++ b/Libraries/Carawaykeel/Ingress/Router.h
@@ -8,6 +8,7 @@
 #include <Carawaykeel/Ingress/EntryHandler.h>
 #include <Carawaykeel/Ingress/ExchangeContext.h>
 #include <Carawaykeel/Ingress/ForwardHandler.h>
+#include <Carawaykeel/Ingress/MetricsHandler.h>
 #include <Carawaykeel/Ingress/RouterSettings.h>
 #include <Carawaykeel/Ingress/ServerChanges.h>
 #include <Carawaykeel/Logging/Logger.h>
@@ -60,6 +61,9 @@
     Membership::MembershipEvents membershipEvents();
     void askForServers();
     void tidy();
+    void listenForMetrics();
+    std::string metricsPage() const;
+    void onTableReached(bool isReached) const;
     void awaitRequests(Base::Milliseconds deadline);
     void handBack(Base::Milliseconds deadline);
 
@@ -73,6 +77,7 @@
     Forwarding::ServerFleet m_servers;
     Forwarding::RetryWindow m_retries;
     BacklogReports m_backlogs;
+    RouterMetrics m_metrics;
     ServerConnections m_connections;
     Adapters::TcpPeerLink m_peers;
     Budget::AllotmentHolder m_allotments;
@@ -86,6 +91,9 @@
     ClientConnections m_callers;
     ClientConnections m_readyQuestions;
     ClientConnections m_entryQuestions;
+    MetricsHandler m_metricsHandler;
+    /// Null when no address is set, or it cannot be listened on.
+    std::unique_ptr<ClientConnections> m_metricsQuestions;
     bool m_isLeaving = false;
 };
 
--- /dev/null
+++ b/Libraries/Carawaykeel/Ingress/RouterReports.cpp
@@ -0,0 +1,65 @@
+// The part of Router that tells operators how it is.
+#include <Carawaykeel/Ingress/Router.h>
+
+#include <Poco/Exception.h>
+#include <algorithm>
+
+namespace Carawaykeel::Ingress {
+
+using Logging::LogEvent;
+using Logging::LogFields;
+
+void Router::listenForMetrics()
+{
+    if (m_settings.metricsAddress.empty())
+        return;
+    try {
+        m_metricsQuestions = std::make_unique<ClientConnections>(
+            m_reactor, m_settings.metricsAddress, m_metricsHandler, [this] { return limits(); },
+            m_settings.connections);
+    } catch (const Poco::Exception &ex) {
+        // Callers are served without anyone to count them.
+        m_log.warn(LogEvent::MetricsUnavailable,
+            LogFields()
+                .add("address", m_settings.metricsAddress)
+                .add("reason", ex.displayText()));
+    }
+}
+
+std::string Router::metricsPage() const
+{
+    Metrics::MetricsText text;
+    m_metrics.writeTo(text);
+    text.gauge("requests_active", "Requests without their whole answer.", m_context.active);
+    text.gauge("caller_connections", "Open connections of callers.",
+        static_cast<std::int64_t>(m_callers.count()));
+    text.gauge("configuration_version", "Version of the configuration in force.",
+        static_cast<std::int64_t>(m_configurationChanges.version()));
+    const auto servers = m_servers.servers();
+    text.gauge("servers_usable", "Backend servers that are announced and not leaving.",
+        std::ranges::count_if(servers, [](const auto &server) { return !server.entry.isLeaving; }));
+    text.gauge("servers_avoided", "Backend servers that are avoided after failures.",
+        std::ranges::count_if(servers,
+            [this](const auto &server) { return server.avoidedUntil > m_reactor.now(); }));
+    text.gauge("server_list_reached", "1 while the server list's feed answers.",
+        m_serverChanges.isReached() ? 1 : 0);
+    std::int64_t unread = 0;
+    for (const auto &backlog : m_servers.backlogs())
+        unread += backlog.unread.count();
+    text.gauge("prompt_tokens_unread", "Prompt tokens that servers have yet to read.", unread);
+    text.gauge("instances_known", "Instances, this one counted.",
+        static_cast<std::int64_t>(m_membership->knownInstances()));
+    m_allotments.writeMetrics(text);
+    return text.take();
+}
+
+void Router::onTableReached(bool isReached) const
+{
+    if (isReached) {
+        m_log.info(LogEvent::AllotmentTableReached);
+    } else {
+        m_log.warn(LogEvent::AllotmentTableLost);
+    }
+}
+
+} // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/RouterSettings.h
+++ b/Libraries/Carawaykeel/Ingress/RouterSettings.h
@@ -24,6 +24,8 @@
     std::string readyAddress;
     /// ...and callers ask here where to connect.
     std::string entryAddress;
+    /// Metrics are served here; empty for nowhere.
+    std::string metricsAddress;
     /// Datagrams of other instances.
     std::string gossipAddress;
     /// Messages of other instances.
--- a/Libraries/Carawaykeel/Ingress/RouterSettingsParser.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterSettingsParser.cpp
@@ -95,6 +95,7 @@
     readPeers(root.requireObject("peers"), settings);
     readRetries(root.optionalObject("retries"), settings.retries);
     readAllotments(root.optionalObject("allotments"), settings.allotments);
+    settings.metricsAddress = root.optionalAddress("metrics_address");
     readLog(root.optionalObject("log"), settings.log);
     readSeconds(root, "shut_down_limit_s", settings.shutDownLimit);
     root.finish();
--- a/Libraries/Carawaykeel/Ingress/ServerChanges.h
+++ b/Libraries/Carawaykeel/Ingress/ServerChanges.h
@@ -43,6 +43,8 @@
 
     /// True until any server was heard of.
     bool isEmpty() const { return m_announced.empty(); }
+    /// True while the feed of the list answers.
+    bool isReached() const { return m_isReached; }
 
 private:
     void put(const std::string &key, const Base::Outcome<Forwarding::ServerEntry> &entry);
--- a/Libraries/Carawaykeel/Logging/LogBudget.cpp
+++ b/Libraries/Carawaykeel/Logging/LogBudget.cpp
@@ -39,7 +39,8 @@
     const auto passed = std::max(now - m_refilledAt, Base::Milliseconds());
     m_refilledAt = std::max(m_refilledAt, now);
     const auto most = m_policy.linesPerSecond * OneLine;
-    m_thousandthsLeft = std::min(m_thousandthsLeft + passed.count() * m_policy.linesPerSecond, most);
+    m_thousandthsLeft =
+        std::min(m_thousandthsLeft + passed.count() * m_policy.linesPerSecond, most);
 }
 
 } // namespace Carawaykeel::Logging
--- a/Libraries/Carawaykeel/Logging/LogFields.h
+++ b/Libraries/Carawaykeel/Logging/LogFields.h
@@ -14,11 +14,14 @@
 {
 public:
     LogFields &add(std::string_view key, std::string_view text);
-    LogFields &add(std::string_view key, const char *text) { return add(key, std::string_view(text)); }
+    LogFields &add(std::string_view key, const char *text)
+    {
+        return add(key, std::string_view(text));
+    }
 
     template <class Number>
-        requires std::integral<Number> || std::floating_point<Number>
-    LogFields &add(std::string_view key, Number number)
+    requires std::integral<Number> || std::floating_point<Number> LogFields &add(
+        std::string_view key, Number number)
     {
         fmt::format_to(std::back_inserter(m_text), " {}={}", key, number);
         return *this;
--- a/Libraries/Carawaykeel/Logging/StreamLogSink.cpp
+++ b/Libraries/Carawaykeel/Logging/StreamLogSink.cpp
@@ -118,7 +118,8 @@
             continue;
         }
         // A pipe that has room takes this much without blocking.
-        const auto written = ::write(m_descriptor, bytes.data(), std::min<std::size_t>(bytes.size(), PIPE_BUF));
+        const auto written =
+            ::write(m_descriptor, bytes.data(), std::min<std::size_t>(bytes.size(), PIPE_BUF));
         if (written < 0 && errno != EINTR && errno != EAGAIN)
             return false;
         if (written > 0)
--- a/Libraries/Carawaykeel/Adapters/PathMetrics.cpp
+++ b/Libraries/Carawaykeel/Metrics/LatencyHistogram.cpp
@@ -1,8 +1,9 @@
-#include <Carawaykeel/Adapters/PathMetrics.h>
+#include <Carawaykeel/Metrics/LatencyHistogram.h>
 
+#include <algorithm>
 #include <fmt/core.h>
 
-namespace Carawaykeel::Adapters {
+namespace Carawaykeel::Metrics {
 
 namespace {
 
@@ -27,19 +28,26 @@
 }
 
 std::string LatencyHistogram::toPrometheus(std::string_view name, std::string_view help) const
+{
+    return fmt::format("# HELP {} {}\n# TYPE {} histogram\n{}", name, help, name, samples(name, ""));
+}
+
+std::string LatencyHistogram::samples(std::string_view name, std::string_view labels) const
 {
     const std::lock_guard lock(m_mutex);
-    auto text = fmt::format("# HELP {} {}\n# TYPE {} histogram\n", name, help, name);
+    const auto more = labels.empty() ? std::string() : fmt::format("{},", labels);
+    const auto own = labels.empty() ? std::string() : fmt::format("{{{}}}", labels);
+    std::string text;
     double count = 0;
     for (const auto &bin : boost::histogram::indexed(m_histogram)) {
         count += *bin;
-        text += fmt::format("{}_bucket{{le=\"{:.6g}\"}} {}\n", name,
+        text += fmt::format("{}_bucket{{{}le=\"{:.6g}\"}} {}\n", name, more,
             bin.bin().upper() / MillisecondsPerSecond, count);
     }
-    const auto above = m_histogram.at(static_cast<int>(Bins));
-    text += fmt::format("{}_bucket{{le=\"+Inf\"}} {}\n{}_sum {}\n{}_count {}\n", name,
-        count + above, name, m_sum / MillisecondsPerSecond, name, count + above);
+    const auto all = count + m_histogram.at(static_cast<int>(Bins));
+    text += fmt::format("{}_bucket{{{}le=\"+Inf\"}} {}\n{}_sum{} {}\n{}_count{} {}\n", name, more,
+        all, name, own, m_sum / MillisecondsPerSecond, name, own, all);
     return text;
 }
 
-} // namespace Carawaykeel::Adapters
+} // namespace Carawaykeel::Metrics
--- /dev/null
+++ b/Libraries/Carawaykeel/Metrics/MetricsText.cpp
@@ -0,0 +1,36 @@
+#include <Carawaykeel/Metrics/MetricsText.h>
+
+#include <fmt/core.h>
+#include <utility>
+
+namespace Carawaykeel::Metrics {
+
+void MetricsText::counter(std::string_view name, std::string_view help, std::uint64_t value)
+{
+    head(name, help, "counter");
+    m_text += fmt::format("carawaykeel_{} {}\n", name, value);
+}
+
+void MetricsText::gauge(std::string_view name, std::string_view help, std::int64_t value)
+{
+    head(name, help, "gauge");
+    m_text += fmt::format("carawaykeel_{} {}\n", name, value);
+}
+
+void MetricsText::head(std::string_view name, std::string_view help, std::string_view type)
+{
+    m_text +=
+        fmt::format("# HELP carawaykeel_{0} {1}\n# TYPE carawaykeel_{0} {2}\n", name, help, type);
+}
+
+void MetricsText::sample(std::string_view name, std::string_view labels, std::int64_t value)
+{
+    m_text += fmt::format("carawaykeel_{}{{{}}} {}\n", name, labels, value);
+}
+
+std::string MetricsText::take()
+{
+    return std::exchange(m_text, {});
+}
+
+} // namespace Carawaykeel::Metrics
--- /dev/null
+++ b/Tests/Metrics/RouterMetricsTest.cpp
@@ -0,0 +1,86 @@
+#include <Carawaykeel/Ingress/RouterMetrics.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/core.h>
+#include <string>
+
+namespace Carawaykeel::Tests {
+
+namespace {
+
+Ingress::RequestResult result(const std::string &service, std::string_view outcome)
+{
+    return {Base::ServiceName(service), outcome, Base::Milliseconds(40), Base::Milliseconds(20),
+        Base::Milliseconds(), 2};
+}
+
+std::string pageOf(const Ingress::RouterMetrics &metrics)
+{
+    Metrics::MetricsText text;
+    metrics.writeTo(text);
+    return text.take();
+}
+
+bool contains(const std::string &page, std::string_view line)
+{
+    return page.find(line) != std::string::npos;
+}
+
+} // namespace
+
+/// What an operator's scraper reads.
+class RouterMetricsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RouterMetricsTest);
+    CPPUNIT_TEST(outcomesAndTimesAreCountedByService);
+    CPPUNIT_TEST(everyMetricHasOneHead);
+    CPPUNIT_TEST(manyServicesKeepThePageShort);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void outcomesAndTimesAreCountedByService()
+    {
+        Ingress::RouterMetrics metrics;
+        metrics.note(result("a", "served"));
+        metrics.note(result("a", "served"));
+        metrics.note(result("", "not_found"));
+        const auto page = pageOf(metrics);
+        CPPUNIT_ASSERT(contains(
+            page, "carawaykeel_requests_total{service=\"a\",outcome=\"served\"} 2\n"));
+        CPPUNIT_ASSERT(contains(
+            page, "carawaykeel_requests_total{service=\"none\",outcome=\"not_found\"} 1\n"));
+        CPPUNIT_ASSERT(contains(page, "carawaykeel_repeats_total{service=\"a\"} 2\n"));
+        CPPUNIT_ASSERT(
+            contains(page, "carawaykeel_first_event_seconds_count{service=\"a\"} 2\n"));
+        CPPUNIT_ASSERT(contains(
+            page, "carawaykeel_request_seconds_bucket{service=\"a\",le=\"+Inf\"} 2\n"));
+    }
+
+    void everyMetricHasOneHead()
+    {
+        Ingress::RouterMetrics metrics;
+        metrics.note(result("a", "served"));
+        metrics.note(result("b", "served"));
+        const auto page = pageOf(metrics);
+        const std::string head = "# TYPE carawaykeel_request_seconds histogram\n";
+        const auto first = page.find(head);
+        CPPUNIT_ASSERT(first != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::string::npos, page.find(head, first + 1));
+    }
+
+    /// Pattern: a configuration with hundreds of services.
+    void manyServicesKeepThePageShort()
+    {
+        Ingress::RouterMetrics metrics;
+        for (int n = 0; n < 1'000; ++n)
+            metrics.note(result(fmt::format("service-{:04}", n), "served"));
+        const auto page = pageOf(metrics);
+        CPPUNIT_ASSERT(contains(
+            page, "carawaykeel_requests_total{service=\"other\",outcome=\"served\"} 968\n"));
+        CPPUNIT_ASSERT(!contains(page, "service-0032"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RouterMetricsTest);
+
+} // namespace Carawaykeel::Tests
--- a/Tests/Support/RouterHarness.cpp
+++ b/Tests/Support/RouterHarness.cpp
@@ -34,8 +34,8 @@
     , m_backlogs(m_reactor, m_servers, [](const auto &) {})
     , m_connections(m_reactor, m_dialect)
     , m_log({Base::InstanceName("test"), 1}, m_logSink)
-    , m_context{m_reactor, m_dialect, m_servers, m_retries, m_backlogs, m_connections, m_purse,
-          m_log, m_random, makeConfiguration(std::move(route)), false, 0}
+    , m_context{m_reactor, m_dialect, m_servers, m_retries, m_backlogs, m_metrics, m_connections,
+          m_purse, m_log, m_random, makeConfiguration(std::move(route)), false, 0}
     , m_handler(m_context)
     , m_callers(
           m_reactor, "127.0.0.1:0", m_handler, [] { return Forwarding::CallerLimits(); },
--- a/Tests/Support/RouterHarness.h
+++ b/Tests/Support/RouterHarness.h
@@ -61,6 +61,7 @@
     Forwarding::ServerFleet m_servers;
     Forwarding::RetryWindow m_retries;
     Ingress::BacklogReports m_backlogs;
+    Ingress::RouterMetrics m_metrics;
     Ingress::ServerConnections m_connections;
     FreePurse m_purse;
     MemoryLogSink m_logSink;
