Forwarding: Give long prompts the time to be read before a server counts as silent

Cause: a stream without an event for a second went to another server and was read there once more. A prompt of 54,600 tokens takes 1.65 s to read.

--- a/Libraries/Carawaykeel/Budget/AllotmentMetrics.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentMetrics.cpp
@@ -20,7 +20,8 @@
     text.gauge("tokens_spent", "Tokens spent or set aside in this life.", spent.count());
     text.gauge("tokens_at_hand", "Tokens that may be spent now.", atHand.count());
     text.gauge("tokens_borrowed", "Tokens lent by others and not spent.", borrowed.count());
-    text.gauge("holds_waiting", "Requests that wait for tokens.", static_cast<std::int64_t>(waiting));
+    text.gauge(
+        "holds_waiting", "Requests that wait for tokens.", static_cast<std::int64_t>(waiting));
     text.gauge("allotment_table_reached", "1 while the table answers.", m_isTableReached ? 1 : 0);
     text.counter("holds_granted_total", "Requests that got their tokens.", m_counters.granted);
     text.counter("holds_exhausted_total", "Requests whose team had too little left.",
--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -1,6 +1,7 @@
 #include <Carawaykeel/Ingress/Exchange.h>
 
 #include <Carawaykeel/Base/ErrorTable.h>
+#include <Carawaykeel/Forwarding/SilenceLimit.h>
 #include <Carawaykeel/Http/EndToEndFields.h>
 #include <Carawaykeel/Ingress/FailureAnswer.h>
 
@@ -12,10 +13,6 @@
 
 namespace {
 
-/// A server that has sent nothing for this many times the objective counts as silent...
-constexpr int SilentObjectives = 3;
-/// ...but not before this.
-constexpr Base::Milliseconds ShortestSilence{300};
 /// Less time than this is not worth another attempt.
 constexpr Base::Milliseconds LeastTimeForAttempt{20};
 constexpr int FirstFailureStatus = 300;
@@ -110,9 +107,9 @@
 {
     if (!m_route.isIdempotent())
         return;
-    const auto patience = std::max(ShortestSilence,
-        isStream() ? std::max(m_route.objective, m_route.pauseObjective * 2)
-                   : m_route.objective * SilentObjectives);
+    const auto toRead =
+        m_unread > Base::Tokens() ? m_unread + Base::Tokens(m_tokensAhead) : m_unread;
+    const auto patience = Forwarding::silenceLimit(m_route, toRead);
     m_context.reactor.schedule(patience, [weak = weak_from_this(), attempt = m_attempt, patience] {
         const auto self = weak.lock();
         if (!self || self->m_isFinished || self->m_attempt != attempt || !self->m_connection)
--- a/Libraries/Carawaykeel/Ingress/RouterMetrics.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterMetrics.cpp
@@ -47,21 +47,19 @@
     text.head("requests_total", "Requests of callers, by what came of them.", "counter");
     for (const auto &[name, service] : m_services) {
         for (const auto &[outcome, count] : service.outcomes) {
-            text.sample("requests_total",
-                fmt::format("{},outcome=\"{}\"", labelsOf(name), outcome),
+            text.sample("requests_total", fmt::format("{},outcome=\"{}\"", labelsOf(name), outcome),
                 static_cast<std::int64_t>(count));
         }
     }
     text.head("repeats_total", "Attempts beyond the first of a request.", "counter");
     for (const auto &[name, service] : m_services)
-        text.sample(
-            "repeats_total", labelsOf(name), static_cast<std::int64_t>(service.repeats));
-    writeHistograms(text, "request_seconds", "Arrival of a request to the end of its answer.",
-        &Service::total);
+        text.sample("repeats_total", labelsOf(name), static_cast<std::int64_t>(service.repeats));
+    writeHistograms(
+        text, "request_seconds", "Arrival of a request to the end of its answer.", &Service::total);
     writeHistograms(text, "first_event_seconds", "Arrival of a request to its first event.",
         &Service::firstEvent);
-    writeHistograms(text, "held_seconds", "Arrival of a request to its first attempt.",
-        &Service::held);
+    writeHistograms(
+        text, "held_seconds", "Arrival of a request to its first attempt.", &Service::held);
 }
 
 void RouterMetrics::writeHistograms(Metrics::MetricsText &text, std::string_view name,
--- a/Libraries/Carawaykeel/Ingress/RouterReports.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterReports.cpp
@@ -20,9 +20,7 @@
     } catch (const Poco::Exception &ex) {
         // Callers are served without anyone to count them.
         m_log.warn(LogEvent::MetricsUnavailable,
-            LogFields()
-                .add("address", m_settings.metricsAddress)
-                .add("reason", ex.displayText()));
+            LogFields().add("address", m_settings.metricsAddress).add("reason", ex.displayText()));
     }
 }
 
@@ -39,8 +37,8 @@
     text.gauge("servers_usable", "Backend servers that are announced and not leaving.",
         std::ranges::count_if(servers, [](const auto &server) { return !server.entry.isLeaving; }));
     text.gauge("servers_avoided", "Backend servers that are avoided after failures.",
-        std::ranges::count_if(servers,
-            [this](const auto &server) { return server.avoidedUntil > m_reactor.now(); }));
+        std::ranges::count_if(
+            servers, [this](const auto &server) { return server.avoidedUntil > m_reactor.now(); }));
     text.gauge("server_list_reached", "1 while the server list's feed answers.",
         m_serverChanges.isReached() ? 1 : 0);
     std::int64_t unread = 0;
--- a/Libraries/Carawaykeel/Metrics/LatencyHistogram.cpp
+++ b/Libraries/Carawaykeel/Metrics/LatencyHistogram.cpp
@@ -29,7 +29,8 @@
 
 std::string LatencyHistogram::toPrometheus(std::string_view name, std::string_view help) const
 {
-    return fmt::format("# HELP {} {}\n# TYPE {} histogram\n{}", name, help, name, samples(name, ""));
+    return fmt::format(
+        "# HELP {} {}\n# TYPE {} histogram\n{}", name, help, name, samples(name, ""));
 }
 
 std::string LatencyHistogram::samples(std::string_view name, std::string_view labels) const
--- a/Tests/Metrics/RouterMetricsTest.cpp
+++ b/Tests/Metrics/RouterMetricsTest.cpp
@@ -45,15 +45,14 @@
         metrics.note(result("a", "served"));
         metrics.note(result("", "not_found"));
         const auto page = pageOf(metrics);
-        CPPUNIT_ASSERT(contains(
-            page, "carawaykeel_requests_total{service=\"a\",outcome=\"served\"} 2\n"));
+        CPPUNIT_ASSERT(
+            contains(page, "carawaykeel_requests_total{service=\"a\",outcome=\"served\"} 2\n"));
         CPPUNIT_ASSERT(contains(
             page, "carawaykeel_requests_total{service=\"none\",outcome=\"not_found\"} 1\n"));
         CPPUNIT_ASSERT(contains(page, "carawaykeel_repeats_total{service=\"a\"} 2\n"));
+        CPPUNIT_ASSERT(contains(page, "carawaykeel_first_event_seconds_count{service=\"a\"} 2\n"));
         CPPUNIT_ASSERT(
-            contains(page, "carawaykeel_first_event_seconds_count{service=\"a\"} 2\n"));
-        CPPUNIT_ASSERT(contains(
-            page, "carawaykeel_request_seconds_bucket{service=\"a\",le=\"+Inf\"} 2\n"));
+            contains(page, "carawaykeel_request_seconds_bucket{service=\"a\",le=\"+Inf\"} 2\n"));
     }
 
     void everyMetricHasOneHead()
