--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -16,7 +16,7 @@
 fleet_settings() {
     local n=$1 zone=$2
     cat >"$fleet_work/entry-$n.json" <<SETTINGS
-// Settings of one instance; docs/OPERATING.md has them all.
+// Settings of one instance; docs/OPERATIONS.md has them all.
 {
     "name": "entry-$n",
     "data_centre": "$zone",
--- a/Services/Carawaykeeld/main.cpp
+++ b/Services/Carawaykeeld/main.cpp
@@ -38,7 +38,7 @@
     CLI::App app("carawaykeeld: one instance of the router fleet, on one entry VM.");
     std::string file;
     bool isCheck = false;
-    app.add_option("--settings", file, "Settings file, JSON with comments (docs/OPERATING.md)")
+    app.add_option("--settings", file, "Settings file, JSON with comments (docs/OPERATIONS.md)")
         ->envname("CARAWAYKEEL_SETTINGS")
         ->required();
     auto *route = app.add_subcommand("route", "Serve the platform's callers and backend servers");
