Ingress: Read the settings file again when it has changed

Cause: SIGHUP was taken and did nothing, and a file that changes without a signal was never seen. Change: the file is looked at on SIGHUP and every two seconds; the bounds of retries, the time callers keep addresses and the time to end hold at once. Faults are logged and change nothing. The tests' scheduler on virtual time, which two of them had copied, is now one. Tests: SettingsWatchTest.

--- a/Libraries/Carawaykeel/Forwarding/RetryWindow.h
+++ b/Libraries/Carawaykeel/Forwarding/RetryWindow.h
@@ -26,6 +26,9 @@
 public:
     explicit RetryWindow(const RetryPolicy &policy);
 
+    /// Other bounds from now on.
+    void setPolicy(const RetryPolicy &policy) { m_policy = policy; }
+
     /// The slack is shared by this many instances.
     void setInstances(int instances);
 
@@ -46,7 +49,7 @@
 
     void forgetOld(Use &use, Base::Milliseconds now) const;
 
-    const RetryPolicy m_policy;
+    RetryPolicy m_policy;
     int m_instances = 1;
     std::map<Base::ServiceName, Use> m_uses;
 };
--- a/Libraries/Carawaykeel/Ingress/Router.h
+++ b/Libraries/Carawaykeel/Ingress/Router.h
@@ -9,7 +9,7 @@
 #include <Carawaykeel/Ingress/ExchangeContext.h>
 #include <Carawaykeel/Ingress/ForwardHandler.h>
 #include <Carawaykeel/Ingress/MetricsHandler.h>
-#include <Carawaykeel/Ingress/RouterSettings.h>
+#include <Carawaykeel/Ingress/RouterSettingsParser.h>
 #include <Carawaykeel/Ingress/ServerChanges.h>
 #include <Carawaykeel/Logging/Logger.h>
 #include <Carawaykeel/Membership/Membership.h>
@@ -47,6 +47,10 @@
     /// Begins all periodic work. Call once.
     void start();
 
+    /// Takes settings that were read again. Bounds and times hold from now on; addresses and the
+    /// rest only after a restart.
+    void reload(const ParsedRouterSettings &parsed);
+
     /// Leaves: callers are sent elsewhere, requests under way are finished, tokens are handed back.
     /// Then the reactor is stopped.
     void shutDown();
@@ -67,7 +71,7 @@
     void awaitRequests(Base::Milliseconds deadline);
     void handBack(Base::Milliseconds deadline);
 
-    const RouterSettings m_settings;
+    RouterSettings m_settings;
     Net::Reactor &m_reactor;
     RouterInterfaces m_interfaces;
     Base::RandomEngine m_random;
--- /dev/null
+++ b/Libraries/Carawaykeel/Ingress/SettingsWatch.cpp
@@ -0,0 +1,39 @@
+#include <Carawaykeel/Ingress/SettingsWatch.h>
+
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+namespace Carawaykeel::Ingress {
+
+SettingsWatch::SettingsWatch(
+    std::string file, std::string document, Base::Scheduler &scheduler, Listener listener)
+    : m_file(std::move(file))
+    , m_document(std::move(document))
+    , m_scheduler(scheduler)
+    , m_listener(std::move(listener))
+{
+}
+
+void SettingsWatch::start()
+{
+    m_scheduler.schedule(LookInterval, [this] {
+        look();
+        start();
+    });
+}
+
+void SettingsWatch::look()
+{
+    std::ifstream stream(m_file);
+    // A file that is being replaced is there again at the next look.
+    if (!stream)
+        return;
+    std::string document{std::istreambuf_iterator<char>(stream), {}};
+    if (document.empty() || document == m_document)
+        return;
+    m_document = std::move(document);
+    m_listener(parseRouterSettings(m_document));
+}
+
+} // namespace Carawaykeel::Ingress
--- a/Services/Carawaykeeld/RouterProcess.cpp
+++ b/Services/Carawaykeeld/RouterProcess.cpp
@@ -5,6 +5,7 @@
 #include <Carawaykeel/Configuration/Fault.h>
 #include <Carawaykeel/Ingress/Router.h>
 #include <Carawaykeel/Ingress/RouterSettingsParser.h>
+#include <Carawaykeel/Ingress/SettingsWatch.h>
 #include <Carawaykeel/Logging/StreamLogSink.h>
 #include <platform/ConfigurationDecoder.h>
 #include <platform/PlatformDialect.h>
@@ -22,6 +23,7 @@
 #include <iterator>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 namespace Carawaykeel {
 
@@ -32,17 +34,22 @@
 
 namespace Names = CarawaykeelPlatform::WireNames;
 
-void waitForSignals(const sigset_t &signals, Net::Reactor &reactor, Ingress::Router &router)
+void waitForSignals(const sigset_t &signals, Net::Reactor &reactor, Ingress::Router &router,
+    Ingress::SettingsWatch &watch)
 {
     while (true) {
         int signal = 0;
-        if (sigwait(&signals, &signal) != 0 || signal == SIGHUP)
+        if (sigwait(&signals, &signal) != 0)
             continue;
-        reactor.post([&router] { router.shutDown(); });
+        if (signal == SIGHUP) {
+            reactor.post([&watch] { watch.look(); });
+        } else {
+            reactor.post([&router] { router.shutDown(); });
+        }
     }
 }
 
-int serve(const Ingress::RouterSettings &settings)
+int serve(const Ingress::RouterSettings &settings, const std::string &file, std::string document)
 {
     Logging::StreamLogSink logSink(STDOUT_FILENO, settings.log);
     sigset_t signals;
@@ -63,8 +70,13 @@
         settings.tableTimeout, router.configurationChanges());
     const CarawaykeelPlatform::StoreFeed servers(
         settings.tableAddress, Names::ServerTable, settings.tableTimeout, router.serverChanges());
-    std::thread(waitForSignals, std::cref(signals), std::ref(reactor), std::ref(router)).detach();
+    Ingress::SettingsWatch watch(file, std::move(document), reactor,
+        [&router](const Ingress::ParsedRouterSettings &parsed) { router.reload(parsed); });
+    std::thread(
+        waitForSignals, std::cref(signals), std::ref(reactor), std::ref(router), std::ref(watch))
+        .detach();
     router.start();
+    watch.start();
     reactor.run();
     // The other threads wait on sockets and signals, so the process ends without undoing them.
     logSink.flush(LastFlush);
@@ -80,7 +92,7 @@
         fmt::print(stderr, "{}: (document): expected a file that can be read\n", settingsFile);
         return ExitBadInput;
     }
-    const std::string document{std::istreambuf_iterator<char>(stream), {}};
+    std::string document{std::istreambuf_iterator<char>(stream), {}};
     const auto parsed = Ingress::parseRouterSettings(document);
     if (!parsed.faults.empty()) {
         fmt::print(stderr, "{}", Configuration::describeFaults(parsed.faults, settingsFile));
@@ -89,7 +101,7 @@
     if (isCheck)
         return ExitOk;
     try {
-        return serve(parsed.settings);
+        return serve(parsed.settings, settingsFile, std::move(document));
     } catch (const Poco::Exception &ex) {
         fmt::print(stderr, "level=fatal event=cannot_start reason=\"{}\"\n", ex.displayText());
         return ExitUnreachable;
--- a/Tests/Forwarding/SilenceLimitTest.cpp
+++ b/Tests/Forwarding/SilenceLimitTest.cpp
@@ -39,8 +39,8 @@
 
     void pauseAfterReadingIsShort()
     {
-        CPPUNIT_ASSERT_EQUAL(std::int64_t(1'000),
-            Forwarding::silenceLimit(streamRoute(), Base::Tokens()).count());
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t(1'000), Forwarding::silenceLimit(streamRoute(), Base::Tokens()).count());
     }
 
     void plainRequestIsWaitedForByItsObjective()
--- a/Tests/Ingress/ServerChangesTest.cpp
+++ b/Tests/Ingress/ServerChangesTest.cpp
@@ -1,6 +1,7 @@
 #include <Carawaykeel/Ingress/ServerChanges.h>
 #include <Support/MemoryLogSink.h>
 #include <Support/VirtualWorld.h>
+#include <Support/WorldScheduler.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <vector>
@@ -9,23 +10,6 @@
 
 namespace {
 
-class WorldScheduler : public Base::Scheduler
-{
-public:
-    explicit WorldScheduler(VirtualWorld &world)
-        : m_world(world)
-    {
-    }
-    Base::Milliseconds now() const override { return m_world.now(); }
-    void schedule(Base::Milliseconds delay, std::function<void()> task) override
-    {
-        m_world.schedule(delay, std::move(task));
-    }
-
-private:
-    VirtualWorld &m_world;
-};
-
 /// Documents of this test: "ready", "leaving", or anything else for one that cannot be read.
 Base::Result<Forwarding::ServerEntry> decode(const std::string &name, std::string_view document)
 {
--- a/Tests/Routing/DispatcherTest.cpp
+++ b/Tests/Routing/DispatcherTest.cpp
@@ -1,5 +1,6 @@
 #include <Carawaykeel/Routing/Dispatcher.h>
 #include <Support/VirtualWorld.h>
+#include <Support/WorldScheduler.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <map>
@@ -8,23 +9,6 @@
 
 namespace {
 
-class WorldScheduler : public Base::Scheduler
-{
-public:
-    explicit WorldScheduler(VirtualWorld &world)
-        : m_world(world)
-    {
-    }
-    Base::Milliseconds now() const override { return m_world.now(); }
-    void schedule(Base::Milliseconds delay, std::function<void()> task) override
-    {
-        m_world.schedule(delay, std::move(task));
-    }
-
-private:
-    VirtualWorld &m_world;
-};
-
 const Base::ServiceName Service("service");
 
 } // namespace
