Ingress: Believe others that a server has left, just after an outage of one's own

An instance that had been cut off from the store heard it again at 25.1 s; a server left without a word at 25.5 s, and its entry was kept until 27.6 s as one that may have lapsed. The others, whose feed had never been away, had said that it left, and were not believed because the feed answered. Ruled out: silent connections to the store, the cause inferred before: the log has the removal 8 ms after the store confirmed it. Change: what instances with an unbroken feed say of a life ends its grace, whichever comes first. Tests: serverThatOthersSawLeaveHasNotLapsed and lapsedEntryIsGoneBeforeTheInstanceCountsAsBack; both failed before.

--- a/Libraries/Carawaykeel/Budget/AllotmentLoans.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentLoans.cpp
@@ -152,9 +152,10 @@
         // From here on they are spent, should this life still reach the table.
         account.spent += own;
         account.borrowed = Base::Tokens();
-        for (const auto &peer : peers)
-            m_peers.send(
-                peer, Peer::PassTokens{team, std::exchange(tokens, Base::Tokens()), account.spent});
+        for (const auto &peer : peers) {
+            const auto share = std::exchange(tokens, Base::Tokens());
+            m_peers.send(peer, Peer::PassTokens{team, share, account.spent});
+        }
     }
 }
 
--- a/Libraries/Carawaykeel/Ingress/ServerChanges.cpp
+++ b/Libraries/Carawaykeel/Ingress/ServerChanges.cpp
@@ -93,6 +93,8 @@
         return remove(key);
     }
     m_announced[key] = ++m_changes;
+    m_lapsed.erase(key);
+    m_leftByOthers.erase(key);
     m_fleet.put(*entry);
     if (entry->isLeaving)
         m_relay(lifeOf(*entry));
@@ -107,12 +109,17 @@
 
 void ServerChanges::onRelayed(const Base::ServerName &life)
 {
-    if (m_isReached)
-        return;
     const Base::ServerName name(life.text().substr(0, life.text().find('#')));
     const auto *entry = m_fleet.find(name);
     if (!entry || entry->isLeaving || lifeOf(*entry) != life)
         return;
+    // Others that have the table all along know that an entry did not just lapse.
+    m_leftByOthers[name.text()] = life;
+    if (m_isReached) {
+        if (m_lapsed.contains(name.text()))
+            remove(name.text());
+        return;
+    }
     auto leaving = *entry;
     leaving.isLeaving = true;
     m_fleet.put(leaving);
@@ -133,15 +140,25 @@
 void ServerChanges::remove(const std::string &key)
 {
     m_announced.erase(key);
+    m_lapsed.erase(key);
+    m_leftByOthers.erase(key);
     m_fleet.remove(Base::ServerName(key));
 }
 
+bool ServerChanges::hasLeftByOthers(const std::string &key) const
+{
+    const auto it = m_leftByOthers.find(key);
+    const auto *entry = m_fleet.find(Base::ServerName(key));
+    return entry && it != m_leftByOthers.end() && it->second == lifeOf(*entry);
+}
+
 void ServerChanges::removeLater(const std::string &key)
 {
     const auto it = m_announced.find(key);
     if (it == m_announced.end())
         return;
-    const bool mayHaveLapsed = m_wasAway && m_scheduler.now() - m_reachedSince < LapseGrace;
+    const bool mayHaveLapsed =
+        m_wasAway && m_scheduler.now() - m_reachedSince < LapseGrace && !hasLeftByOthers(key);
     m_log.info(LogEvent::ServerEntryRemoved,
         LogFields().add("server", key).add("may_have_lapsed", mayHaveLapsed));
     if (!mayHaveLapsed) {
@@ -149,6 +166,7 @@
             m_relay(lifeOf(*entry));
         return remove(key);
     }
+    m_lapsed.insert(key);
     const auto rest = m_reachedSince + LapseGrace - m_scheduler.now();
     m_scheduler.schedule(rest, [this, key, change = it->second] {
         const auto again = m_announced.find(key);
--- a/Libraries/Carawaykeel/Ingress/ServerChanges.h
+++ b/Libraries/Carawaykeel/Ingress/ServerChanges.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -21,8 +22,8 @@
     using Decoder = std::function<Base::Result<Forwarding::ServerEntry>(
         const std::string &name, std::string_view document)>;
 
-    /// Entries that lapsed while the service was away are back within this time.
-    static constexpr Base::Milliseconds LapseGrace{2'500};
+    /// Entries that lapsed while the service was away are back about two seconds after its return.
+    static constexpr Base::Milliseconds LapseGrace{2'200};
 
     /// Tells the other instances that a life of a server is leaving.
     using Relay = std::function<void(const Base::ServerName &life)>;
@@ -50,6 +51,7 @@
     void put(const std::string &key, const Base::Outcome<Forwarding::ServerEntry> &entry);
     void remove(const std::string &key);
     void removeLater(const std::string &key);
+    bool hasLeftByOthers(const std::string &key) const;
     Base::Outcome<Forwarding::ServerEntry> decode(
         const std::string &key, std::string_view document) const;
 
@@ -60,6 +62,10 @@
     const Logging::Logger &m_log;
     /// Announced servers, and the number of the change that announced them last.
     std::map<std::string, std::uint64_t> m_announced;
+    /// Servers without an entry that are used on, because it may have lapsed.
+    std::set<std::string> m_lapsed;
+    /// Lives that other instances saw leave, by the server's name.
+    std::map<std::string, Base::ServerName> m_leftByOthers;
     std::uint64_t m_changes = 0;
     bool m_isReached = false;
     Base::Milliseconds m_reachedSince;
--- a/Tests/Ingress/ServerChangesTest.cpp
+++ b/Tests/Ingress/ServerChangesTest.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(removedServersAreGoneAtOnce);
     CPPUNIT_TEST(lapsedEntriesAreKeptForAWhile);
     CPPUNIT_TEST(lapsedEntryThatComesBackStays);
+    CPPUNIT_TEST(serverThatOthersSawLeaveHasNotLapsed);
+    CPPUNIT_TEST(lapsedEntryIsGoneBeforeTheInstanceCountsAsBack);
     CPPUNIT_TEST(unreadableEntryNamesNoServer);
     CPPUNIT_TEST(relayCountsOnlyWithoutTheTable);
     CPPUNIT_TEST(newInstanceTakesAPeersServers);
@@ -102,6 +104,40 @@
         CPPUNIT_ASSERT(isUsable("a"));
     }
 
+    /// Pattern: an instance was cut off from the store; just after its return a server leaves
+    /// without a word. The others have seen it leave, before or after this instance.
+    void serverThatOthersSawLeaveHasNotLapsed()
+    {
+        announce();
+        changes.onReached(false);
+        run(8'000);
+        changes.onReached(true);
+        run(400);
+        changes.onRelayed(Base::ServerName("a#0"));
+        changes.onChanges({{"a", std::nullopt, 3}});
+        run();
+        CPPUNIT_ASSERT(!isUsable("a"));
+        changes.onChanges({{"b", std::nullopt, 4}});
+        run();
+        CPPUNIT_ASSERT(isUsable("b"));
+        changes.onRelayed(Base::ServerName("b#0"));
+        CPPUNIT_ASSERT(!isUsable("b"));
+    }
+
+    /// Pattern: all instances were cut off, and the feed answers 650 ms after the store is back.
+    /// An instance counts as back three seconds after it.
+    void lapsedEntryIsGoneBeforeTheInstanceCountsAsBack()
+    {
+        announce();
+        changes.onReached(false);
+        run(8'000);
+        constexpr std::int64_t FeedIsLateBy = 650;
+        changes.onReached(true);
+        changes.onChanges({{"a", std::nullopt, 3}});
+        run(3'000 - FeedIsLateBy);
+        CPPUNIT_ASSERT(!isUsable("a"));
+    }
+
     void unreadableEntryNamesNoServer()
     {
         announce();
