Budget: Let allotments grow 1.8 times as fast as they are used

An instance that died in an outage was closed at all that 2.5 times its use had freed in eight seconds; the teams had too little left at the end. Ruled out: nothing kept requests from servers; the refusals are 402. Change: the factor. The check that books without conditions are noticed lost its power with it (no seed of 40), so chaos now sends four times the usual demand instead of two and has 40 seeds to notice it, not 20. AllotmentTest passes, hot teams included. Conclusion: kept; a cap that a peer witnesses would save more and is not built.

--- a/Libraries/Carawaykeel/Budget/AllotmentPolicy.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentPolicy.h
@@ -11,7 +11,7 @@
     /// An allotment is free as a whole this long after the report, at the latest...
     Base::Milliseconds horizon{12'000};
     /// ...and sooner where it is used fast: it grows this many times as fast as the present use...
-    double growthFactor = 2.5;
+    double growthFactor = 1.8;
     /// ...but in no less than this.
     Base::Milliseconds shortestGrowth{4'000};
     /// Time between two reports to the table.
--- a/Tests/Budget/AllotmentTest.cpp
+++ b/Tests/Budget/AllotmentTest.cpp
@@ -105,7 +105,7 @@
     fleet.network().doubling = 0.05;
     Demand demand(world, fleet);
     for (int step = 0; step < 60; ++step) {
-        demand.run(Base::Milliseconds(world.draw(100, 1'500)), 2, [&] { checkBooks(fleet); });
+        demand.run(Base::Milliseconds(world.draw(100, 1'500)), 4, [&] { checkBooks(fleet); });
         trouble(world, fleet);
     }
 }
@@ -176,7 +176,7 @@
 
     void booksWithoutConditionsAreNoticed()
     {
-        expectSomeSeedFails(20, [](int seed) { chaos(seed, Mutation::UnconditionalBooks); });
+        expectSomeSeedFails(40, [](int seed) { chaos(seed, Mutation::UnconditionalBooks); });
     }
 
     void deathInAnOutageOverspendsNothing()
