Ingress: Watch a stream by its pauses once its prompt is read

Cause: the time to read a long prompt was taken into the watch for silence when the request was sent, and held on after the first event: a server that went dark in the midst of such a stream was given up seconds late. Change: the watch begins anew at the first part of the answer, without the time for the prompt. Tests: streamWithALongPromptGoesOnAfterAPause; failed before.

--- a/Libraries/Carawaykeel/Forwarding/ServerFleet.h
+++ b/Libraries/Carawaykeel/Forwarding/ServerFleet.h
@@ -18,10 +18,10 @@
 {
     /// What a request at a server counts as in prompt tokens to read: it slows the others...
     double requestTokens = 100;
-    /// A shared part that is read again takes the room of another, so it counts this many times.
-    double sharedAgain = 3;
     /// ...and each one beyond the server's slots has to wait for another to end.
     double waitingTokens = 4'000;
+    /// A shared part that is read again takes the room of another, so it counts this many times.
+    double sharedAgain = 3;
     /// What a server that fails every request counts as in prompt tokens: its requests are mostly
     /// read once more elsewhere.
     double failureTokens = 30'000;
--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -89,7 +89,6 @@
             m_context.servers.onEnded(m_server, true, now);
             continue;
         }
-        ++m_attempt;
         ++m_attemptsSent;
         m_answer = Answer();
         m_lastProgress = now;
@@ -110,9 +109,9 @@
     const auto toRead =
         m_unread > Base::Tokens() ? m_unread + Base::Tokens(m_tokensAhead) : m_unread;
     const auto patience = Forwarding::silenceLimit(m_route, toRead);
-    m_context.reactor.schedule(patience, [weak = weak_from_this(), attempt = m_attempt, patience] {
+    m_context.reactor.schedule(patience, [weak = weak_from_this(), watch = ++m_watch, patience] {
         const auto self = weak.lock();
-        if (!self || self->m_isFinished || self->m_attempt != attempt || !self->m_connection)
+        if (!self || self->m_isFinished || self->m_watch != watch || !self->m_connection)
             return;
         if (self->m_context.reactor.now() - self->m_lastProgress < patience)
             return self->watchSilence();
@@ -230,6 +229,8 @@
         return;
     m_context.servers.onRead(m_server, std::exchange(m_unread, Base::Tokens()));
     m_context.backlogs.onChanged();
+    // From now on silence lasts no longer than a pause between events.
+    watchSilence();
 }
 
 void Exchange::endAttempt(bool hasFailed)
--- a/Libraries/Carawaykeel/Ingress/Exchange.h
+++ b/Libraries/Carawaykeel/Ingress/Exchange.h
@@ -99,8 +99,8 @@
     Base::Tokens m_unread;
     std::set<Base::ServerName> m_tried;
     int m_attemptsSent = 0;
-    /// Number of the present attempt, so that a timer of an earlier one does nothing.
-    std::uint64_t m_attempt = 0;
+    /// Number of the present watch for silence, so that the timer of an earlier one does nothing.
+    std::uint64_t m_watch = 0;
     /// What was thought of the server when it was chosen: prompt tokens to be read before this
     /// request's, and the age of its last report.
     std::int64_t m_tokensAhead = 0;
--- a/Tests/Ingress/ExchangeTest.cpp
+++ b/Tests/Ingress/ExchangeTest.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(lateAnswerIsNotTakenForTheNext);
     CPPUNIT_TEST(bytesBeyondAnAnswerEndTheConnection);
     CPPUNIT_TEST(streamGoesOnAfterTheLastWholeEvent);
+    CPPUNIT_TEST(streamWithALongPromptGoesOnAfterAPause);
     CPPUNIT_TEST(streamThatCannotGoOnDoesNotLookComplete);
     CPPUNIT_TEST(goneCallerEndsTheServersWork);
     CPPUNIT_TEST(timeoutIsAnsweredInTime);
@@ -214,6 +215,26 @@
         CPPUNIT_ASSERT_EQUAL(std::string("2"), better.requests().at(0).field("Last-Event-Id"));
     }
 
+    /// Pattern: a server reads a long prompt, sends an event and goes dark. The time that the
+    /// prompt took counts no longer.
+    void streamWithALongPromptGoesOnAfterAPause()
+    {
+        ScriptedServer dark([](const ReceivedRequest &request, int) {
+            return ScriptedReply{streamHead(request) + chunk(event(1)), Then::Hang};
+        });
+        ScriptedServer better([](const ReceivedRequest &request, int) {
+            return ScriptedReply{streamHead(request) + chunk(event(2)) + "0\r\n\r\n", Then::Keep};
+        });
+        auto route = makeRoute(Forwarding::RouteKind::Stream, true);
+        route.timeout = Base::Milliseconds(2'000);
+        RouterHarness router(route, {dark.address(), better.address()});
+        const auto answer = router.call(RouterHarness::makeRequest("1",
+            "X-Token-Counts: 100000,10\r\nX-Prompt-Prefix: a1:1000,b2:99000\r\n", "POST",
+            "prompt"));
+        CPPUNIT_ASSERT(answer.isWhole);
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), answer.body);
+    }
+
     void streamThatCannotGoOnDoesNotLookComplete()
     {
         ScriptedServer breaking([](const ReceivedRequest &request, int) {
