Ingress: Send failures from one place

Cause: four handlers made the answer to a failure and sent it in the same two steps. Change: answerWithFailure() does both; the struct between them goes. Conclusion: behaviour as before.

--- a/Libraries/Carawaykeel/Ingress/EntryHandler.cpp
+++ b/Libraries/Carawaykeel/Ingress/EntryHandler.cpp
@@ -42,8 +42,7 @@
 
 void EntryHandler::refuse(Base::ErrorKind kind, Caller &caller)
 {
-    auto answer = makeFailureAnswer({kind, "", Base::Milliseconds()}, m_dialect);
-    caller.answer(*answer.head, answer.body);
+    answerWithFailure(caller, {kind, "", Base::Milliseconds()}, m_dialect);
 }
 
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -329,10 +329,8 @@
 {
     if (m_isFinished)
         return;
-    if (m_caller) {
-        auto answer = makeFailureAnswer(failure, m_context.dialect);
-        m_caller->answer(*answer.head, answer.body);
-    }
+    if (m_caller)
+        answerWithFailure(*m_caller, failure, m_context.dialect);
     m_reason = failure.message;
     finish(Base::answerFor(failure.kind).name);
 }
--- a/Libraries/Carawaykeel/Ingress/FailureAnswer.cpp
+++ b/Libraries/Carawaykeel/Ingress/FailureAnswer.cpp
@@ -4,14 +4,15 @@
 
 namespace Carawaykeel::Ingress {
 
-FailureAnswer makeFailureAnswer(const Base::Failure &failure, const Forwarding::Dialect &dialect)
+void answerWithFailure(
+    Caller &caller, const Base::Failure &failure, const Forwarding::Dialect &dialect)
 {
-    auto head = std::make_unique<Poco::Net::HTTPResponse>(
+    Poco::Net::HTTPResponse head(
         static_cast<Poco::Net::HTTPResponse::HTTPStatus>(dialect.statusOf(failure.kind)));
-    head->setContentType("application/json");
+    head.setContentType("application/json");
     if (failure.retryAfter > Base::Milliseconds())
-        dialect.writeRetryAfter(*head, failure.retryAfter);
-    return {std::move(head), Adapters::failureBody(failure)};
+        dialect.writeRetryAfter(head, failure.retryAfter);
+    caller.answer(head, Adapters::failureBody(failure));
 }
 
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/ForwardHandler.cpp
+++ b/Libraries/Carawaykeel/Ingress/ForwardHandler.cpp
@@ -22,8 +22,7 @@
 
 void ForwardHandler::refuse(Base::ErrorKind kind, Caller &caller)
 {
-    auto answer = makeFailureAnswer({kind, "", Base::Milliseconds()}, m_context.dialect);
-    caller.answer(*answer.head, answer.body);
+    answerWithFailure(caller, {kind, "", Base::Milliseconds()}, m_context.dialect);
 }
 
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/MetricsHandler.cpp
+++ b/Libraries/Carawaykeel/Ingress/MetricsHandler.cpp
@@ -35,8 +35,7 @@
 
 void MetricsHandler::refuse(Base::ErrorKind kind, Caller &caller)
 {
-    auto answer = makeFailureAnswer({kind, "", Base::Milliseconds()}, m_dialect);
-    caller.answer(*answer.head, answer.body);
+    answerWithFailure(caller, {kind, "", Base::Milliseconds()}, m_dialect);
 }
 
 } // namespace Carawaykeel::Ingress
