Ingress: Abandon an attempt in one place; watch no ended attempt

Cause: a timeout and a caller's leaving had the same four lines, and the end of an attempt armed a watch for silence that could find nothing. Change: abandonAttempt(); the watch begins anew only where the first part of an answer comes.

--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -147,7 +147,11 @@
 {
     const auto self = shared_from_this();
     m_lastProgress = m_context.reactor.now();
-    noteRead();
+    if (m_unread > Base::Tokens()) {
+        noteRead();
+        // From now on silence lasts no longer than a pause between events.
+        watchSilence();
+    }
     if (isStream() && isSuccess())
         return passEvents(bytes);
     m_answer.body.append(bytes);
@@ -229,8 +233,6 @@
         return;
     m_context.servers.onRead(m_server, std::exchange(m_unread, Base::Tokens()));
     m_context.backlogs.onChanged();
-    // From now on silence lasts no longer than a pause between events.
-    watchSilence();
 }
 
 void Exchange::endAttempt(bool hasFailed)
@@ -288,15 +290,20 @@
     finish(ServedOutcome);
 }
 
+void Exchange::abandonAttempt()
+{
+    if (!m_connection)
+        return;
+    m_connection->abandon();
+    m_mayHaveRun = true;
+    endAttempt(false);
+}
+
 void Exchange::onTimeout()
 {
     if (m_isFinished)
         return;
-    if (m_connection) {
-        m_connection->abandon();
-        m_mayHaveRun = true;
-        endAttempt(false);
-    }
+    abandonAttempt();
     if (m_hasStreamBegun) {
         if (m_caller)
             m_caller->breakOff();
@@ -311,11 +318,7 @@
     m_caller = nullptr;
     if (m_isFinished)
         return;
-    if (m_connection) {
-        m_connection->abandon();
-        m_mayHaveRun = true;
-        endAttempt(false);
-    }
+    abandonAttempt();
     finish("caller_gone");
 }
 
--- a/Libraries/Carawaykeel/Ingress/Exchange.h
+++ b/Libraries/Carawaykeel/Ingress/Exchange.h
@@ -63,6 +63,7 @@
     void onTimeout();
     void noteRead();
     void endAttempt(bool hasFailed);
+    void abandonAttempt();
     void afterAttempt(Forwarding::AttemptEnd end);
     void passEvents(std::string_view bytes);
     void beginStream();
