Ingress: Look only at the servers whose backlog changed

Cause: each prompt that was sent or read led to a walk over all servers and a copy of their names; a large fleet has hundreds. Change: the reports keep the names of the changed servers and ask for those. The model of PromptPlacementTest tells of the changed server only, as the instances do. Conclusion: what is told is the same.

--- a/Libraries/Carawaykeel/Forwarding/PromptMemory.cpp
+++ b/Libraries/Carawaykeel/Forwarding/PromptMemory.cpp
@@ -4,12 +4,6 @@
 
 namespace Carawaykeel::Forwarding {
 
-namespace {
-
-constexpr std::size_t FewestToTidy = 256;
-
-} // namespace
-
 void PromptMemory::note(std::span<const PromptPart> prompt, Base::Milliseconds now)
 {
     for (const auto &part : prompt)
--- a/Libraries/Carawaykeel/Forwarding/PromptMemory.h
+++ b/Libraries/Carawaykeel/Forwarding/PromptMemory.h
@@ -24,12 +24,15 @@
     Base::Tokens unread(std::span<const PromptPart> prompt, Base::Milliseconds now) const;
 
 private:
+    /// With fewer parts than this the old ones are not looked for.
+    static constexpr std::size_t FewestToTidy = 256;
+
     bool keeps(std::uint64_t part, Base::Milliseconds now) const;
     void forgetOld(Base::Milliseconds now);
 
     std::unordered_map<std::uint64_t, Base::Milliseconds> m_lastUse;
     /// Number of parts at which the old ones are looked for next.
-    std::size_t m_tidyAt = 256;
+    std::size_t m_tidyAt = FewestToTidy;
 };
 
 } // namespace Carawaykeel::Forwarding
--- a/Libraries/Carawaykeel/Forwarding/ServerFleet.cpp
+++ b/Libraries/Carawaykeel/Forwarding/ServerFleet.cpp
@@ -193,12 +193,10 @@
     }
 }
 
-std::vector<ServerBacklog> ServerFleet::backlogs() const
+Base::Tokens ServerFleet::unreadAt(const Base::ServerName &name) const
 {
-    std::vector<ServerBacklog> backlogs;
-    for (const auto &[name, server] : m_servers)
-        backlogs.push_back({name, server.unread});
-    return backlogs;
+    const auto it = m_servers.find(name);
+    return it == m_servers.end() ? Base::Tokens() : it->second.unread;
 }
 
 void ServerFleet::onEnded(const Base::ServerName &name, bool hasFailed, Base::Milliseconds now)
--- a/Libraries/Carawaykeel/Forwarding/ServerFleet.h
+++ b/Libraries/Carawaykeel/Forwarding/ServerFleet.h
@@ -84,8 +84,8 @@
     /// Another instance tells what it has at the servers that it names.
     void onPeerBacklogs(const Base::InstanceName &peer, std::span<const ServerBacklog> backlogs,
         Base::Milliseconds now);
-    /// What this instance has at each server.
-    std::vector<ServerBacklog> backlogs() const;
+    /// What this instance has at one server; nothing at one that is not announced.
+    Base::Tokens unreadAt(const Base::ServerName &name) const;
     void onEnded(const Base::ServerName &name, bool hasFailed, Base::Milliseconds now);
     void onReport(const Base::ServerName &name, const ReportedLoad &load, Base::Milliseconds now);
 
--- a/Libraries/Carawaykeel/Ingress/BacklogReports.cpp
+++ b/Libraries/Carawaykeel/Ingress/BacklogReports.cpp
@@ -1,5 +1,6 @@
 #include <Carawaykeel/Ingress/BacklogReports.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Carawaykeel::Ingress {
@@ -12,29 +13,34 @@
 {
 }
 
-void BacklogReports::onChanged()
+void BacklogReports::onChanged(const Base::ServerName &server)
 {
-    if (std::exchange(m_isDue, true))
-        return;
-    m_scheduler.schedule(GatherTime, [this] { tell(); });
+    const bool isDue = !m_changed.empty();
+    m_changed.insert(server);
+    if (!isDue)
+        m_scheduler.schedule(GatherTime, [this] { tell(); });
 }
 
 void BacklogReports::tell()
 {
-    m_isDue = false;
-    std::vector<Forwarding::ServerBacklog> changed;
-    for (const auto &backlog : m_servers.backlogs()) {
-        auto &told = m_told[backlog.server];
-        const auto change = backlog.unread - told;
-        const bool isCleared = backlog.unread == Base::Tokens() && told > Base::Tokens();
-        if (change < LeastChange && -LeastChange.count() < change.count() && !isCleared)
+    std::vector<Forwarding::ServerBacklog> news;
+    for (const auto &server : std::exchange(m_changed, {})) {
+        const auto unread = m_servers.unreadAt(server);
+        const auto it = m_told.find(server);
+        const auto told = it == m_told.end() ? Base::Tokens() : it->second;
+        const auto change = std::max(unread - told, told - unread);
+        const bool isCleared = unread == Base::Tokens() && told > Base::Tokens();
+        if (change < LeastChange && !isCleared)
             continue;
-        told = backlog.unread;
-        changed.push_back(backlog);
+        if (isCleared) {
+            m_told.erase(it);
+        } else {
+            m_told[server] = unread;
+        }
+        news.push_back({server, unread});
     }
-    std::erase_if(m_told, [](const auto &item) { return item.second == Base::Tokens(); });
-    if (!changed.empty())
-        m_sender(changed);
+    if (!news.empty())
+        m_sender(news);
 }
 
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/BacklogReports.h
+++ b/Libraries/Carawaykeel/Ingress/BacklogReports.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace Carawaykeel::Ingress {
@@ -25,8 +26,8 @@
     BacklogReports(
         Base::Scheduler &scheduler, const Forwarding::ServerFleet &servers, Sender sender);
 
-    /// A prompt was sent to a server or read by it.
-    void onChanged();
+    /// A prompt was sent to the server or read by it.
+    void onChanged(const Base::ServerName &server);
 
 private:
     void tell();
@@ -34,8 +35,10 @@
     Base::Scheduler &m_scheduler;
     const Forwarding::ServerFleet &m_servers;
     const Sender m_sender;
+    /// What the others think, where it is not nothing.
     std::map<Base::ServerName, Base::Tokens> m_told;
-    bool m_isDue = false;
+    /// Servers whose backlog changed since the last look.
+    std::set<Base::ServerName> m_changed;
 };
 
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -95,7 +95,7 @@
         m_tokensAhead = m_context.servers.tokensBefore(*server, now);
         m_loadAge = now - server->reportedAt;
         m_unread = m_context.servers.onSent(m_server, m_terms.promptParts, now);
-        m_context.backlogs.onChanged();
+        m_context.backlogs.onChanged(m_server);
         m_connection->begin(m_head->getMethod(), m_terms.id, bytes, *this);
         watchSilence();
         return;
@@ -232,7 +232,7 @@
     if (m_unread == Base::Tokens())
         return;
     m_context.servers.onRead(m_server, std::exchange(m_unread, Base::Tokens()));
-    m_context.backlogs.onChanged();
+    m_context.backlogs.onChanged(m_server);
 }
 
 void Exchange::endAttempt(bool hasFailed)
--- a/Libraries/Carawaykeel/Ingress/RouterReports.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterReports.cpp
@@ -42,10 +42,11 @@
             servers, [this](const auto &server) { return server.avoidedUntil > m_reactor.now(); }));
     text.gauge("server_list_reached", "1 while the server list's feed answers.",
         m_serverChanges.isReached() ? 1 : 0);
-    std::int64_t unread = 0;
-    for (const auto &backlog : m_servers.backlogs())
-        unread += backlog.unread.count();
-    text.gauge("prompt_tokens_unread", "Prompt tokens that servers have yet to read.", unread);
+    Base::Tokens unread;
+    for (const auto &server : servers)
+        unread += server.unread;
+    text.gauge(
+        "prompt_tokens_unread", "Prompt tokens that servers have yet to read.", unread.count());
     text.gauge("instances_known", "Instances, this one counted.",
         static_cast<std::int64_t>(m_membership->knownInstances()));
     m_allotments.writeMetrics(text);
--- a/Tests/Forwarding/PromptPlacementTest.cpp
+++ b/Tests/Forwarding/PromptPlacementTest.cpp
@@ -106,7 +106,7 @@
         const auto now = m_world.now();
         const auto name = fleet.choose({Service, prompt, {}}, now)->entry.name;
         const auto unread = fleet.onSent(name, prompt, now);
-        tell(instance);
+        tell(instance, name);
         auto &engine = m_engines.at(static_cast<std::size_t>(name.text().back() - '0'));
         const auto waited = std::max(engine.freeAt - now, Base::Milliseconds());
         const auto readAt = engine.read(prompt, now);
@@ -117,21 +117,24 @@
             ++m_late;
         m_world.schedule(readAt - now, [this, instance, name, unread] {
             m_fleets.at(instance)->onRead(name, unread);
-            tell(instance);
+            tell(instance, name);
         });
     }
 
-    void tell(std::size_t from)
+    void tell(std::size_t from, const Base::ServerName &server)
     {
         if (!m_tellsOthers)
             return;
         for (std::size_t to = 0; to < Instances; ++to) {
             if (to == from || m_world.happens(MessageLoss))
                 continue;
-            m_world.schedule(MessageTime, [this, from, to, told = m_fleets.at(from)->backlogs()] {
-                m_fleets.at(to)->onPeerBacklogs(
-                    Base::InstanceName("entry-" + std::to_string(from)), told, m_world.now());
-            });
+            m_world.schedule(MessageTime,
+                [this, from, to,
+                    told = std::vector<Forwarding::ServerBacklog>{
+                        {server, m_fleets.at(from)->unreadAt(server)}}] {
+                    m_fleets.at(to)->onPeerBacklogs(
+                        Base::InstanceName("entry-" + std::to_string(from)), told, m_world.now());
+                });
         }
     }
 
