Base: Keep timers in one queue

Cause: the reactor, the event loop and the tests' virtual time each had the same ordered queue, two of them with the same const_cast. Change: Base::TimerQueue; the locks stay where the threads are.

--- a/Libraries/Carawaykeel/Fleet/EventLoop.cpp
+++ b/Libraries/Carawaykeel/Fleet/EventLoop.cpp
@@ -37,7 +37,7 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        m_timers.push({now() + delay, ++m_order, std::move(task)});
+        m_timers.add(now() + delay, std::move(task));
     }
     m_wake.notify_one();
 }
@@ -46,18 +46,16 @@
 {
     std::unique_lock lock(m_mutex);
     while (!m_isStopping) {
-        if (m_timers.empty()) {
+        if (m_timers.isEmpty()) {
             m_wake.wait(lock);
             continue;
         }
-        const auto when = m_timers.top().when;
+        const auto when = m_timers.nextMoment();
         if (when > now()) {
             m_wake.wait_until(lock, m_origin + std::chrono::milliseconds(when.count()));
             continue;
         }
-        // The queue gives only const access to its top, which is dropped right after.
-        auto task = std::move(const_cast<Timer &>(m_timers.top()).task);
-        m_timers.pop();
+        auto task = m_timers.takeNext();
         lock.unlock();
         task();
         task = nullptr;
--- a/Libraries/Carawaykeel/Fleet/EventLoop.h
+++ b/Libraries/Carawaykeel/Fleet/EventLoop.h
@@ -1,16 +1,14 @@
 #pragma once
 
 #include <Carawaykeel/Base/Scheduler.h>
+#include <Carawaykeel/Base/TimerQueue.h>
 
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
-#include <cstdint>
 #include <functional>
 #include <mutex>
-#include <queue>
 #include <thread>
-#include <vector>
 
 namespace Carawaykeel::Fleet {
 
@@ -35,25 +33,12 @@
     void stop();
 
 private:
-    struct Timer
-    {
-        Base::Milliseconds when;
-        std::uint64_t order;
-        std::function<void()> task;
-
-        bool operator>(const Timer &other) const
-        {
-            return when != other.when ? when > other.when : order > other.order;
-        }
-    };
-
     void run();
 
     const std::chrono::steady_clock::time_point m_origin;
     std::mutex m_mutex;
     std::condition_variable m_wake;
-    std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
-    std::uint64_t m_order = 0;
+    Base::TimerQueue m_timers;
     bool m_isStopping = false;
     std::thread m_thread;
 };
--- a/Libraries/Carawaykeel/Net/Reactor.cpp
+++ b/Libraries/Carawaykeel/Net/Reactor.cpp
@@ -39,7 +39,7 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        m_timers.push({now() + delay, ++m_order, std::move(task)});
+        m_timers.add(now() + delay, std::move(task));
     }
     if (std::this_thread::get_id() == m_thread.load() || m_isWakeUpSent.exchange(true))
         return;
@@ -89,9 +89,9 @@
 Base::Milliseconds Reactor::untilNextTimer()
 {
     const std::lock_guard lock(m_mutex);
-    if (m_timers.empty())
+    if (m_timers.isEmpty())
         return LongestWait;
-    return std::clamp(m_timers.top().when - now(), Base::Milliseconds(), LongestWait);
+    return std::clamp(m_timers.nextMoment() - now(), Base::Milliseconds(), LongestWait);
 }
 
 void Reactor::runDueTimers()
@@ -100,11 +100,9 @@
         std::function<void()> task;
         {
             const std::lock_guard lock(m_mutex);
-            if (m_timers.empty() || m_timers.top().when > now())
+            if (m_timers.isEmpty() || m_timers.nextMoment() > now())
                 return;
-            // The queue gives only const access to its top, which is dropped right after.
-            task = std::move(const_cast<Timer &>(m_timers.top()).task);
-            m_timers.pop();
+            task = m_timers.takeNext();
         }
         task();
     }
--- a/Libraries/Carawaykeel/Net/Reactor.h
+++ b/Libraries/Carawaykeel/Net/Reactor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Carawaykeel/Base/Scheduler.h>
+#include <Carawaykeel/Base/TimerQueue.h>
 #include <Carawaykeel/Net/SocketHandler.h>
 
 #include <Poco/Net/DatagramSocket.h>
@@ -8,13 +9,10 @@
 #include <Poco/Net/Socket.h>
 #include <atomic>
 #include <chrono>
-#include <cstdint>
 #include <functional>
 #include <mutex>
-#include <queue>
 #include <thread>
 #include <unordered_map>
-#include <vector>
 
 namespace Carawaykeel::Net {
 
@@ -47,17 +45,6 @@
     void stop();
 
 private:
-    struct Timer
-    {
-        Base::Milliseconds when;
-        std::uint64_t order;
-        std::function<void()> task;
-
-        bool operator>(const Timer &other) const
-        {
-            return when != other.when ? when > other.when : order > other.order;
-        }
-    };
     struct Watched
     {
         SocketHandler *handler;
@@ -75,8 +62,7 @@
     /// Connected to itself: a byte sent by another thread ends the wait.
     Poco::Net::DatagramSocket m_wakeUp;
     std::mutex m_mutex;
-    std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
-    std::uint64_t m_order = 0;
+    Base::TimerQueue m_timers;
     std::atomic<bool> m_isStopping = false;
     std::atomic<bool> m_isWakeUpSent = false;
     std::atomic<std::thread::id> m_thread;
--- a/Tests/Support/VirtualWorld.cpp
+++ b/Tests/Support/VirtualWorld.cpp
@@ -1,5 +1,7 @@
 #include <Support/VirtualWorld.h>
 
+#include <utility>
+
 namespace Carawaykeel::Tests {
 
 VirtualWorld::VirtualWorld(std::uint64_t seed)
@@ -9,17 +11,15 @@
 
 void VirtualWorld::schedule(Base::Milliseconds delay, std::function<void()> task)
 {
-    m_tasks.push({m_now + delay, ++m_order, std::move(task)});
+    m_tasks.add(m_now + delay, std::move(task));
 }
 
 void VirtualWorld::run(Base::Milliseconds span, const std::function<void()> &check)
 {
     const auto end = m_now + span;
-    while (!m_tasks.empty() && m_tasks.top().when <= end) {
-        auto task = m_tasks.top();
-        m_tasks.pop();
-        m_now = task.when;
-        task.run();
+    while (!m_tasks.isEmpty() && m_tasks.nextMoment() <= end) {
+        m_now = m_tasks.nextMoment();
+        m_tasks.takeNext()();
         if (check)
             check();
     }
--- a/Tests/Support/VirtualWorld.h
+++ b/Tests/Support/VirtualWorld.h
@@ -2,11 +2,10 @@
 
 #include <Carawaykeel/Base/BackOff.h>
 #include <Carawaykeel/Base/Milliseconds.h>
+#include <Carawaykeel/Base/TimerQueue.h>
 
 #include <cstdint>
 #include <functional>
-#include <queue>
-#include <vector>
 
 namespace Carawaykeel::Tests {
 
@@ -28,20 +27,8 @@
     bool happens(double probability);
 
 private:
-    struct Task
-    {
-        Base::Milliseconds when;
-        std::uint64_t order;
-        std::function<void()> run;
-        bool operator>(const Task &other) const
-        {
-            return when != other.when ? when > other.when : order > other.order;
-        }
-    };
-
     Base::Milliseconds m_now;
-    std::uint64_t m_order = 0;
-    std::priority_queue<Task, std::vector<Task>, std::greater<>> m_tasks;
+    Base::TimerQueue m_tasks;
     Base::RandomEngine m_random;
 };
 
