--- a/Tests/Budget/AllotmentTest.cpp
+++ b/Tests/Budget/AllotmentTest.cpp
@@ -46,6 +46,21 @@
     AllotmentFleet &m_fleet;
 };
 
+/// A fleet with its callers, in a world of its own.
+struct Day
+{
+    explicit Day(int seed)
+        : world(static_cast<std::uint64_t>(seed))
+        , fleet(world, Instances, Prepaid)
+        , demand(world, fleet)
+    {
+    }
+
+    VirtualWorld world;
+    AllotmentFleet fleet;
+    Demand demand;
+};
+
 void checkBooks(const AllotmentFleet &fleet)
 {
     CPPUNIT_ASSERT_MESSAGE(fmt::format("used {} of {}", fleet.used(), fleet.prepaid()),
@@ -98,36 +113,50 @@
 
 void chaos(int seed, Mutation mutation)
 {
-    VirtualWorld world(static_cast<std::uint64_t>(seed));
-    AllotmentFleet fleet(world, Instances, Prepaid);
-    fleet.table().mutation = mutation;
-    fleet.network().loss = 0.03;
-    fleet.network().doubling = 0.05;
-    Demand demand(world, fleet);
+    Day day(seed);
+    day.fleet.table().mutation = mutation;
+    day.fleet.network().loss = 0.03;
+    day.fleet.network().doubling = 0.05;
     for (int step = 0; step < 60; ++step) {
-        demand.run(Base::Milliseconds(world.draw(100, 1'500)), 4, [&] { checkBooks(fleet); });
-        trouble(world, fleet);
+        day.demand.run(
+            Base::Milliseconds(day.world.draw(100, 1'500)), 4, [&] { checkBooks(day.fleet); });
+        trouble(day.world, day.fleet);
     }
 }
 
 /// Pattern: the table is away for nine seconds, and at their end all processes die at once.
 void dieInAnOutage(int seed, Mutation mutation)
 {
-    VirtualWorld world(static_cast<std::uint64_t>(seed));
-    AllotmentFleet fleet(world, Instances, Prepaid);
-    fleet.table().mutation = mutation;
-    Demand demand(world, fleet);
-    world.run(Base::Milliseconds(10'000));
-    demand.run(Base::Milliseconds(4'000), 1);
-    fleet.table().isDown = true;
-    demand.run(Base::Milliseconds(9'000), 1.5);
-    for (int n = 0; n < Instances; ++n)
-        fleet.kill(n);
-    fleet.table().isDown = false;
-    world.run(Base::Milliseconds(500));
-    for (int n = 0; n < Instances; ++n)
-        fleet.start(n);
-    demand.run(Base::Milliseconds(60'000), 2, [&] { checkBooks(fleet); });
+    Day day(seed);
+    day.fleet.table().mutation = mutation;
+    day.world.run(Base::Milliseconds(10'000));
+    day.demand.run(Base::Milliseconds(4'000), 1);
+    day.fleet.table().isDown = true;
+    day.demand.run(Base::Milliseconds(9'000), 1.5);
+    day.fleet.killAll();
+    day.fleet.table().isDown = false;
+    day.world.run(Base::Milliseconds(500));
+    day.fleet.startAll();
+    day.demand.run(Base::Milliseconds(60'000), 2, [&] { checkBooks(day.fleet); });
+}
+
+/// What was left when all had died, and what of it could be used.
+struct RestAfterDeath
+{
+    std::int64_t rest;
+    std::int64_t used;
+};
+
+/// All processes die at once, are away for a while, and callers go on for a span.
+RestAfterDeath dieAndUseTheRest(Day &day, Base::Milliseconds away, Base::Milliseconds span)
+{
+    day.fleet.killAll();
+    day.world.run(away);
+    day.fleet.startAll();
+    day.world.run(Base::Milliseconds(1'500));
+    const auto before = day.fleet.used();
+    day.demand.run(span, 1, [&] { checkBooks(day.fleet); });
+    return {day.fleet.prepaid() - before, day.fleet.used() - before};
 }
 
 } // namespace
@@ -193,18 +222,15 @@
     void outageForAllRefusesNothing()
     {
         forEachSeed(10, [](int seed) {
-            VirtualWorld world(static_cast<std::uint64_t>(seed));
-            AllotmentFleet fleet(world, Instances, Prepaid);
-            Demand demand(world, fleet);
-            world.run(Base::Milliseconds(10'000));
+            Day day(seed);
+            day.world.run(Base::Milliseconds(10'000));
             for (const auto before : {5'500, 9'500}) {
-                demand.run(Base::Milliseconds(before), 1);
-                fleet.table().isDown = true;
-                demand.run(Base::Milliseconds(9'000), 1);
-                fleet.table().isDown = false;
+                day.demand.run(Base::Milliseconds(before), 1);
+                day.fleet.table().isDown = true;
+                day.demand.run(Base::Milliseconds(9'000), 1);
+                day.fleet.table().isDown = false;
             }
-            CPPUNIT_ASSERT_EQUAL(
-                std::int64_t(0), fleet.counts().unreachable + fleet.counts().exhausted);
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(0), day.fleet.counts().refused());
         });
     }
 
@@ -212,17 +238,15 @@
     void hotTeamIsServedThroughAnOutage()
     {
         forEachSeed(10, [](int seed) {
-            VirtualWorld world(static_cast<std::uint64_t>(seed));
-            AllotmentFleet fleet(world, Instances, Prepaid);
-            Demand demand(world, fleet);
-            world.run(Base::Milliseconds(10'000));
-            demand.run(Base::Milliseconds(3'000), 1);
-            fleet.table().isDown = true;
-            demand.run(Base::Milliseconds(6'000), 2.7);
-            const auto refused = fleet.counts().unreachable + fleet.counts().exhausted;
+            Day day(seed);
+            day.world.run(Base::Milliseconds(10'000));
+            day.demand.run(Base::Milliseconds(3'000), 1);
+            day.fleet.table().isDown = true;
+            day.demand.run(Base::Milliseconds(6'000), 2.7);
+            const auto refused = day.fleet.counts().refused();
             // What is left with others could have served them; a twentieth is the target.
             CPPUNIT_ASSERT_MESSAGE(fmt::format("refused {}", refused),
-                refused * 20 <= fleet.counts().granted + refused);
+                refused * 20 <= day.fleet.counts().granted + refused);
         });
     }
 
@@ -231,18 +255,15 @@
     void hotTeamIsServedLateInTheDay()
     {
         forEachSeed(10, [](int seed) {
-            VirtualWorld world(static_cast<std::uint64_t>(seed));
-            AllotmentFleet fleet(world, Instances, Prepaid);
-            Demand demand(world, fleet);
-            world.run(Base::Milliseconds(10'000));
-            while (fleet.used() * 3 < fleet.prepaid() * 2)
-                demand.run(Base::Milliseconds(500), 2.4);
-            const auto before = fleet.counts();
-            fleet.table().isDown = true;
-            demand.run(Base::Milliseconds(4'000), 2.4);
-            const auto refused = fleet.counts().unreachable + fleet.counts().exhausted
-                - before.unreachable - before.exhausted;
-            const auto granted = fleet.counts().granted - before.granted;
+            Day day(seed);
+            day.world.run(Base::Milliseconds(10'000));
+            while (day.fleet.used() * 3 < day.fleet.prepaid() * 2)
+                day.demand.run(Base::Milliseconds(500), 2.4);
+            const auto before = day.fleet.counts();
+            day.fleet.table().isDown = true;
+            day.demand.run(Base::Milliseconds(4'000), 2.4);
+            const auto refused = day.fleet.counts().refused() - before.refused();
+            const auto granted = day.fleet.counts().granted - before.granted;
             CPPUNIT_ASSERT_MESSAGE(fmt::format("refused {} of {}", refused, refused + granted),
                 refused * 20 <= granted + refused);
         });
@@ -252,33 +273,28 @@
     /// within the time of the loans that are tried.
     void emptyBudgetIsRefusedAtOnceInAnOutage()
     {
-        VirtualWorld world(3);
-        AllotmentFleet fleet(world, Instances, Prepaid);
-        Demand demand(world, fleet);
-        demand.run(Base::Milliseconds(90'000), 1.5);
-        world.run(Base::Milliseconds(4'000));
-        fleet.table().isDown = true;
-        world.run(Base::Milliseconds(100));
-        const auto before = fleet.counts();
+        Day day(3);
+        day.demand.run(Base::Milliseconds(90'000), 1.5);
+        day.world.run(Base::Milliseconds(4'000));
+        day.fleet.table().isDown = true;
+        day.world.run(Base::Milliseconds(100));
+        const auto before = day.fleet.counts();
         for (int n = 0; n < Instances; ++n)
-            fleet.request(n, LargestRequest);
-        world.run(Base::Milliseconds(100));
-        CPPUNIT_ASSERT_EQUAL(std::int64_t(Instances),
-            fleet.counts().unreachable + fleet.counts().exhausted - before.unreachable
-                - before.exhausted);
+            day.fleet.request(n, LargestRequest);
+        day.world.run(Base::Milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t(Instances), day.fleet.counts().refused() - before.refused());
     }
 
     /// Pattern: a team sends until nothing is left. At most 3 in 100 may stay unusable.
     void nearlyAllIsUsable()
     {
         forEachSeed(10, [](int seed) {
-            VirtualWorld world(static_cast<std::uint64_t>(seed));
-            AllotmentFleet fleet(world, Instances, Prepaid);
-            Demand demand(world, fleet);
-            world.run(Base::Milliseconds(10'000));
-            demand.run(Base::Milliseconds(90'000), 1, [&] { checkBooks(fleet); });
-            CPPUNIT_ASSERT_MESSAGE(
-                fmt::format("used {}", fleet.used()), fleet.used() * 100 >= fleet.prepaid() * 97);
+            Day day(seed);
+            day.world.run(Base::Milliseconds(10'000));
+            day.demand.run(Base::Milliseconds(90'000), 1, [&] { checkBooks(day.fleet); });
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("used {}", day.fleet.used()),
+                day.fleet.used() * 100 >= day.fleet.prepaid() * 97);
         });
     }
 
@@ -286,37 +302,26 @@
     void mostIsUsableAfterAllHaveDied()
     {
         forEachSeed(10, [](int seed) {
-            VirtualWorld world(static_cast<std::uint64_t>(seed));
-            AllotmentFleet fleet(world, Instances, Prepaid);
-            Demand demand(world, fleet);
-            world.run(Base::Milliseconds(10'000));
-            demand.run(Base::Milliseconds(15'000), 1);
-            for (int n = 0; n < Instances; ++n)
-                fleet.kill(n);
-            world.run(Base::Milliseconds(800));
-            for (int n = 0; n < Instances; ++n)
-                fleet.start(n);
-            world.run(Base::Milliseconds(1'500));
-            const auto rest = fleet.prepaid() - fleet.used();
-            const auto before = fleet.used();
-            demand.run(Base::Milliseconds(90'000), 1, [&] { checkBooks(fleet); });
-            CPPUNIT_ASSERT_MESSAGE(fmt::format("{} of {}", fleet.used() - before, rest),
-                (fleet.used() - before) * 2 >= rest);
+            Day day(seed);
+            day.world.run(Base::Milliseconds(10'000));
+            day.demand.run(Base::Milliseconds(15'000), 1);
+            const auto after =
+                dieAndUseTheRest(day, Base::Milliseconds(800), Base::Milliseconds(90'000));
+            CPPUNIT_ASSERT_MESSAGE(
+                fmt::format("{} of {}", after.used, after.rest), after.used * 2 >= after.rest);
         });
     }
 
     void drainedInstanceLeavesNothingBehind()
     {
-        VirtualWorld world(1);
-        AllotmentFleet fleet(world, Instances, Prepaid);
-        Demand demand(world, fleet);
-        demand.run(Base::Milliseconds(5'000), 1);
-        world.run(Base::Milliseconds(4'000));
+        Day day(1);
+        day.demand.run(Base::Milliseconds(5'000), 1);
+        day.world.run(Base::Milliseconds(4'000));
         bool isHandedBack = false;
-        fleet.holder(0).handBack([&](bool isDone) { isHandedBack = isDone; });
-        world.run(Base::Milliseconds(1'000));
+        day.fleet.holder(0).handBack([&](bool isDone) { isHandedBack = isDone; });
+        day.world.run(Base::Milliseconds(1'000));
         CPPUNIT_ASSERT(isHandedBack);
-        const auto row = fleet.table().range("allotment/").front().value;
+        const auto row = day.fleet.table().range("allotment/").front().value;
         CPPUNIT_ASSERT(row.find(AllotmentFleet::nameOf(0) + "\"") == std::string::npos);
     }
 
@@ -324,17 +329,14 @@
     void newInstanceBorrowsWhileTheTableIsAway()
     {
         forEachSeed(10, [](int seed) {
-            VirtualWorld world(static_cast<std::uint64_t>(seed));
-            AllotmentFleet fleet(world, Instances, Prepaid);
-            Demand demand(world, fleet);
-            world.run(Base::Milliseconds(10'000));
-            demand.run(Base::Milliseconds(4'000), 1);
-            fleet.table().isDown = true;
-            fleet.kill(0);
-            fleet.start(0);
-            demand.run(Base::Milliseconds(8'000), 1);
-            CPPUNIT_ASSERT_EQUAL(
-                std::int64_t(0), fleet.counts().unreachable + fleet.counts().exhausted);
+            Day day(seed);
+            day.world.run(Base::Milliseconds(10'000));
+            day.demand.run(Base::Milliseconds(4'000), 1);
+            day.fleet.table().isDown = true;
+            day.fleet.kill(0);
+            day.fleet.start(0);
+            day.demand.run(Base::Milliseconds(8'000), 1);
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(0), day.fleet.counts().refused());
         });
     }
 
@@ -342,24 +344,22 @@
     void drainInAnOutageLosesNothing()
     {
         forEachSeed(10, [](int seed) {
-            VirtualWorld world(static_cast<std::uint64_t>(seed));
-            AllotmentFleet fleet(world, Instances, Prepaid);
-            Demand demand(world, fleet);
-            world.run(Base::Milliseconds(10'000));
-            demand.run(Base::Milliseconds(4'000), 1);
-            fleet.table().isDown = true;
-            demand.run(Base::Milliseconds(5'000), 1);
+            Day day(seed);
+            day.world.run(Base::Milliseconds(10'000));
+            day.demand.run(Base::Milliseconds(4'000), 1);
+            day.fleet.table().isDown = true;
+            day.demand.run(Base::Milliseconds(5'000), 1);
             for (int n = 0; n < Instances / 2; ++n) {
-                fleet.holder(n).handBack([](bool) {});
-                world.run(Base::Milliseconds(500));
-                fleet.kill(n);
-                fleet.start(n);
+                day.fleet.holder(n).handBack([](bool) {});
+                day.world.run(Base::Milliseconds(500));
+                day.fleet.kill(n);
+                day.fleet.start(n);
             }
-            demand.run(Base::Milliseconds(1'000), 1);
-            fleet.table().isDown = false;
-            demand.run(Base::Milliseconds(90'000), 1, [&] { checkBooks(fleet); });
-            CPPUNIT_ASSERT_MESSAGE(
-                fmt::format("used {}", fleet.used()), fleet.used() * 100 >= fleet.prepaid() * 97);
+            day.demand.run(Base::Milliseconds(1'000), 1);
+            day.fleet.table().isDown = false;
+            day.demand.run(Base::Milliseconds(90'000), 1, [&] { checkBooks(day.fleet); });
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("used {}", day.fleet.used()),
+                day.fleet.used() * 100 >= day.fleet.prepaid() * 97);
         });
     }
 
@@ -367,23 +367,14 @@
     void littleIsLostWhenAllDieLate()
     {
         forEachSeed(10, [](int seed) {
-            VirtualWorld world(static_cast<std::uint64_t>(seed));
-            AllotmentFleet fleet(world, Instances, Prepaid);
-            Demand demand(world, fleet);
-            world.run(Base::Milliseconds(10'000));
-            while (fleet.used() * 3 < fleet.prepaid() * 2)
-                demand.run(Base::Milliseconds(500), 1);
-            for (int n = 0; n < Instances; ++n)
-                fleet.kill(n);
-            world.run(Base::Milliseconds(1'000));
-            for (int n = 0; n < Instances; ++n)
-                fleet.start(n);
-            world.run(Base::Milliseconds(1'500));
-            const auto rest = fleet.prepaid() - fleet.used();
-            const auto before = fleet.used();
-            demand.run(Base::Milliseconds(60'000), 1, [&] { checkBooks(fleet); });
-            CPPUNIT_ASSERT_MESSAGE(fmt::format("{} of {}", fleet.used() - before, rest),
-                (fleet.used() - before) * 3 >= rest * 2);
+            Day day(seed);
+            day.world.run(Base::Milliseconds(10'000));
+            while (day.fleet.used() * 3 < day.fleet.prepaid() * 2)
+                day.demand.run(Base::Milliseconds(500), 1);
+            const auto after =
+                dieAndUseTheRest(day, Base::Milliseconds(1'000), Base::Milliseconds(60'000));
+            CPPUNIT_ASSERT_MESSAGE(
+                fmt::format("{} of {}", after.used, after.rest), after.used * 3 >= after.rest * 2);
         });
     }
 };
--- a/Tests/Support/AllotmentFleet.cpp
+++ b/Tests/Support/AllotmentFleet.cpp
@@ -132,8 +132,7 @@
     , m_lives(static_cast<std::size_t>(instances))
     , m_prepaid(prepaid)
 {
-    for (int n = 0; n < instances; ++n)
-        start(n);
+    startAll();
 }
 
 AllotmentFleet::~AllotmentFleet() = default;
@@ -162,6 +161,18 @@
     m_lives.at(static_cast<std::size_t>(instance))->end();
 }
 
+void AllotmentFleet::killAll()
+{
+    for (const auto &life : m_lives)
+        life->end();
+}
+
+void AllotmentFleet::startAll()
+{
+    for (std::size_t n = 0; n < m_lives.size(); ++n)
+        start(static_cast<int>(n));
+}
+
 bool AllotmentFleet::isAlive(int instance) const
 {
     return m_lives.at(static_cast<std::size_t>(instance))->isAlive();
--- a/Tests/Support/AllotmentFleet.h
+++ b/Tests/Support/AllotmentFleet.h
@@ -19,6 +19,8 @@
     std::int64_t granted = 0;
     std::int64_t exhausted = 0;
     std::int64_t unreachable = 0;
+
+    std::int64_t refused() const { return exhausted + unreachable; }
 };
 
 /// Instances that hold allotments of one team, in virtual time, with the truth of what was used.
@@ -34,6 +36,8 @@
     /// Ends an instance's life at once. What its requests use by then is drawn.
     void kill(int instance);
     void start(int instance);
+    void killAll();
+    void startAll();
     void freeze(int instance, Base::Milliseconds span);
     void topUp(std::int64_t tokens);
 
