--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -1,6 +1,7 @@
 #include <Carawaykeel/Ingress/Router.h>
 
 #include <Carawaykeel/Base/Incarnation.h>
+#include <Carawaykeel/Configuration/Fault.h>
 
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
@@ -253,6 +254,28 @@
     m_reactor.schedule(TidyInterval, [this] { tidy(); });
 }
 
+void Router::reload(const ParsedRouterSettings &parsed)
+{
+    if (!parsed.faults.empty()) {
+        m_log.warn(LogEvent::SettingsRefused,
+            LogFields()
+                .add("faults", parsed.faults.size())
+                .add("reason", Configuration::describeFaults(parsed.faults, "settings")));
+        return;
+    }
+    const auto &settings = parsed.settings;
+    m_settings.entryKeepTime = settings.entryKeepTime;
+    m_settings.shutDownLimit = settings.shutDownLimit;
+    m_settings.retries = settings.retries;
+    m_retries.setPolicy(settings.retries);
+    m_log.info(LogEvent::SettingsReloaded,
+        LogFields()
+            .add("retry_ratio", settings.retries.ratio)
+            .add("retry_slack", settings.retries.slack)
+            .add("entry_keep_ms", settings.entryKeepTime.count())
+            .add("shut_down_limit_ms", settings.shutDownLimit.count()));
+}
+
 void Router::shutDown()
 {
     if (std::exchange(m_isLeaving, true))
--- a/Libraries/Carawaykeel/Ingress/RouterReports.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterReports.cpp
@@ -1,5 +1,4 @@
 // The part of Router that tells operators how it is.
-#include <Carawaykeel/Configuration/Fault.h>
 #include <Carawaykeel/Ingress/Router.h>
 
 #include <Poco/Exception.h>
@@ -53,28 +52,6 @@
     return text.take();
 }
 
-void Router::reload(const ParsedRouterSettings &parsed)
-{
-    if (!parsed.faults.empty()) {
-        m_log.warn(LogEvent::SettingsRefused,
-            LogFields()
-                .add("faults", parsed.faults.size())
-                .add("reason", Configuration::describeFaults(parsed.faults, "settings")));
-        return;
-    }
-    const auto &settings = parsed.settings;
-    m_settings.entryKeepTime = settings.entryKeepTime;
-    m_settings.shutDownLimit = settings.shutDownLimit;
-    m_settings.retries = settings.retries;
-    m_retries.setPolicy(settings.retries);
-    m_log.info(LogEvent::SettingsReloaded,
-        LogFields()
-            .add("retry_ratio", settings.retries.ratio)
-            .add("retry_slack", settings.retries.slack)
-            .add("entry_keep_ms", settings.entryKeepTime.count())
-            .add("shut_down_limit_ms", settings.shutDownLimit.count()));
-}
-
 void Router::onTableReached(bool isReached) const
 {
     if (isReached) {
