Budget: Log how reports to the table fail and when use passes its cover

CommitOutcome::Refused names a call that the service turned away; it is still treated as a conflict, so no decision changes. One AllotmentObserver replaces two callbacks of the holder.

--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.cpp
@@ -164,12 +164,12 @@
         rows.emplace(row.key, &row);
     for (auto &[team, account] : m_accounts) {
         const auto it = rows.find(keyOf(team));
-        adopt(account, it == rows.end() ? nullptr : it->second);
+        adopt(team, account, it == rows.end() ? nullptr : it->second);
     }
     write(triesLeft);
 }
 
-void AllotmentHolder::adopt(Account &account, const Platform::Row *row)
+void AllotmentHolder::adopt(const Base::TeamId &team, Account &account, const Platform::Row *row)
 {
     account.version = row ? row->version : Platform::AbsentVersion;
     account.row = row ? Platform::decodeRow<AllotmentRow>(row->value) : AllotmentRow();
@@ -182,6 +182,17 @@
         if (allotment.holder == m_self)
             account.possible.push_back(allotment);
     }
+    checkCover(team, account);
+}
+
+void AllotmentHolder::checkCover(const Base::TeamId &team, const Account &account)
+{
+    const auto whole = account.possible.empty() ? Base::Tokens() : account.possible.back().whole();
+    if (account.spent <= whole)
+        return;
+    ++m_counters.overdrafts;
+    if (m_observer)
+        m_observer->onOverdrawn(team, account.spent, whole, account.version);
 }
 
 void AllotmentHolder::write(int triesLeft)
@@ -201,6 +212,7 @@
                 account.possible.push_back(allotment);
         }
     }
+    m_committedAt = m_scheduler.now();
     m_table.commit(std::move(transaction),
         [this, triesLeft](const Platform::CommitReply &reply) { onCommitted(reply, triesLeft); });
 }
@@ -262,6 +274,8 @@
 
 void AllotmentHolder::onCommitted(const Platform::CommitReply &reply, int triesLeft)
 {
+    if (m_observer && reply.outcome != Platform::CommitOutcome::Committed)
+        m_observer->onReportFailed(reply.outcome, triesLeft, m_scheduler.now() - m_committedAt);
     switch (reply.outcome) {
     case Platform::CommitOutcome::Committed:
         for (const auto &team : m_written) {
@@ -273,11 +287,14 @@
         }
         for (const auto &closing : m_closings) {
             m_counters.tokensWrittenOff += (closing.counted - closing.allotment.spent).count();
-            m_onClosing(closing.team, closing.allotment, closing.counted);
+            if (m_observer)
+                m_observer->onClosed(closing.team, closing.allotment, closing.counted);
         }
         return finishReport(true);
     case Platform::CommitOutcome::Conflict:
-        ++m_counters.reportConflicts;
+    case Platform::CommitOutcome::Refused:
+        ++(reply.outcome == Platform::CommitOutcome::Conflict ? m_counters.reportConflicts
+                                                              : m_counters.reportsRefused);
         // It has not landed and never will.
         for (const auto &team : m_written) {
             auto &account = m_accounts.at(team);
@@ -307,8 +324,8 @@
 {
     m_isReporting = false;
     ++(isReached ? m_counters.reports : m_counters.reportsUnanswered);
-    if (std::exchange(m_isTableReached, isReached) != isReached)
-        m_onTable(isReached);
+    if (std::exchange(m_isTableReached, isReached) != isReached && m_observer)
+        m_observer->onTableReached(isReached);
     if (!isReached)
         m_notBefore = m_scheduler.now() + m_policy.outagePause;
     if (m_isHandingBack) {
--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.h
@@ -3,6 +3,7 @@
 #include <Carawaykeel/Base/BackOff.h>
 #include <Carawaykeel/Base/Scheduler.h>
 #include <Carawaykeel/Budget/Allotment.h>
+#include <Carawaykeel/Budget/AllotmentObserver.h>
 #include <Carawaykeel/Budget/AllotmentPolicy.h>
 #include <Carawaykeel/Budget/ServiceClock.h>
 #include <Carawaykeel/Budget/TokenLending.h>
@@ -36,6 +37,9 @@
     std::uint64_t reports = 0;
     std::uint64_t reportsUnanswered = 0;
     std::uint64_t reportConflicts = 0;
+    std::uint64_t reportsRefused = 0;
+    /// Times that a life had spent more than the table set aside for it.
+    std::uint64_t overdrafts = 0;
     /// Tokens of dead lives that were counted as spent and had not been reported so.
     std::int64_t tokensWrittenOff = 0;
 };
@@ -52,13 +56,8 @@
         Platform::TableService &table, Peer::PeerLink &peers, PeerSource livePeers,
         const AllotmentPolicy &policy, Base::RandomEngine &random);
 
-    /// Is told of each allotment of an earlier life that is closed, and what counts as spent of it.
-    using ClosingObserver = std::function<void(
-        const Base::TeamId &team, const Allotment &allotment, Base::Tokens counted)>;
-    void observeClosings(ClosingObserver observer) { m_onClosing = std::move(observer); }
-
-    /// Is told when the table answers again after it did not, and the other way round.
-    void observeTable(std::function<void(bool)> observer) { m_onTable = std::move(observer); }
+    /// Sets who is told what happens; borrowed for the holder's life.
+    void setObserver(AllotmentObserver &observer) { m_observer = &observer; }
 
     /// Totals over all teams, and what became of holds and reports.
     void writeMetrics(Metrics::MetricsText &text) const;
@@ -131,11 +130,12 @@
     void report();
     void reportSoon();
     void onRows(const Platform::RangeReply &reply, int triesLeft);
-    void adopt(Account &account, const Platform::Row *row);
+    void adopt(const Base::TeamId &team, Account &account, const Platform::Row *row);
     void write(int triesLeft);
     AllotmentRow plan(const Base::TeamId &team, Account &account, Base::Milliseconds serviceNow);
     Base::Milliseconds growthTimeFor(const Account &account, Base::Tokens later) const;
     Allotment nextAllotment(const Account &account, Base::Tokens available) const;
+    void checkCover(const Base::TeamId &team, const Account &account);
     void onCommitted(const Platform::CommitReply &reply, int triesLeft);
     void tryAgain(int triesLeft);
     void finishReport(bool isReached);
@@ -175,9 +175,11 @@
     std::function<void(bool)> m_handBackAnswer;
     /// Allotments that the commit under way closes by estimate.
     std::vector<Closing> m_closings;
-    std::function<void(bool)> m_onTable = [](bool) {};
     AllotmentCounters m_counters;
-    ClosingObserver m_onClosing = [](const auto &, const auto &, auto) {};
+    /// Null when nobody observes.
+    AllotmentObserver *m_observer = nullptr;
+    /// When the commit under way was sent.
+    Base::Milliseconds m_committedAt;
 };
 
 } // namespace Carawaykeel::Budget
--- a/Libraries/Carawaykeel/Budget/AllotmentMetrics.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentMetrics.cpp
@@ -33,6 +33,10 @@
         m_counters.reportsUnanswered);
     text.counter("allotment_conflicts_total", "Reports that another instance's crossed.",
         m_counters.reportConflicts);
+    text.counter("allotment_refused_total", "Reports that the table turned away.",
+        m_counters.reportsRefused);
+    text.counter("allotment_overdrafts_total",
+        "Times that more was spent here than the table sets aside for it.", m_counters.overdrafts);
     text.counter("tokens_written_off_total", "Tokens of dead lives counted as spent unreported.",
         static_cast<std::uint64_t>(std::max<std::int64_t>(m_counters.tokensWrittenOff, 0)));
 }
--- a/Libraries/Carawaykeel/Forwarding/RetryWindow.h
+++ b/Libraries/Carawaykeel/Forwarding/RetryWindow.h
@@ -31,6 +31,7 @@
 
     /// The slack is shared by this many instances.
     void setInstances(int instances);
+    int instances() const { return m_instances; }
 
     void onRequest(const Base::ServiceName &service, Base::Milliseconds now);
 
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -74,6 +74,7 @@
     , m_allotments(
           m_self.id, reactor, m_interfaces.table, m_peers,
           [this] { return m_membership->livePeers(); }, m_settings.allotments, m_random)
+    , m_allotmentLog(m_log)
     , m_context{reactor, m_interfaces.dialect, m_servers, m_retries, m_backlogs, m_metrics,
           m_connections, m_allotments, m_log, m_random, nullptr, false, 0}
     , m_serverChanges(
@@ -176,17 +177,7 @@
             .add("entry", m_settings.entryAddress)
             .add("gossip", m_settings.gossipAddress)
             .add("data_centre", m_settings.dataCentre.text()));
-    m_allotments.observeClosings(
-        [this](const Base::TeamId &team, const Budget::Allotment &allotment, Base::Tokens counted) {
-            m_log.info(LogEvent::AllotmentClosed,
-                LogFields()
-                    .add("team", team.text())
-                    .add("closed_incarnation", allotment.holder.incarnation)
-                    .add("reported", allotment.spent.count())
-                    .add("counted", counted.count())
-                    .add("whole", allotment.whole().count()));
-        });
-    m_allotments.observeTable([this](bool isReached) { onTableReached(isReached); });
+    m_allotments.setObserver(m_allotmentLog);
     listenForMetrics();
     m_membership->start();
     m_allotments.start();
--- a/Libraries/Carawaykeel/Ingress/Router.h
+++ b/Libraries/Carawaykeel/Ingress/Router.h
@@ -3,6 +3,7 @@
 #include <Carawaykeel/Adapters/TcpPeerLink.h>
 #include <Carawaykeel/Adapters/UdpGossipLink.h>
 #include <Carawaykeel/Budget/AllotmentHolder.h>
+#include <Carawaykeel/Ingress/AllotmentLog.h>
 #include <Carawaykeel/Ingress/ClientConnections.h>
 #include <Carawaykeel/Ingress/ConfigurationChanges.h>
 #include <Carawaykeel/Ingress/EntryHandler.h>
@@ -67,7 +68,6 @@
     void tidy();
     void listenForMetrics();
     std::string metricsPage() const;
-    void onTableReached(bool isReached) const;
     void awaitRequests(Base::Milliseconds deadline);
     void handBack(Base::Milliseconds deadline);
 
@@ -85,6 +85,7 @@
     ServerConnections m_connections;
     Adapters::TcpPeerLink m_peers;
     Budget::AllotmentHolder m_allotments;
+    AllotmentLog m_allotmentLog;
     ExchangeContext m_context;
     ServerChanges m_serverChanges;
     ConfigurationChanges m_configurationChanges;
--- a/Libraries/Carawaykeel/Ingress/RouterReports.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterReports.cpp
@@ -48,17 +48,10 @@
         "prompt_tokens_unread", "Prompt tokens that servers have yet to read.", unread.count());
     text.gauge("instances_known", "Instances, this one counted.",
         static_cast<std::int64_t>(m_membership->knownInstances()));
+    text.gauge("repeat_slack_instances", "Instances that the slack of repeats is divided by.",
+        m_retries.instances());
     m_allotments.writeMetrics(text);
     return text.take();
 }
 
-void Router::onTableReached(bool isReached) const
-{
-    if (isReached) {
-        m_log.info(LogEvent::AllotmentTableReached);
-    } else {
-        m_log.warn(LogEvent::AllotmentTableLost);
-    }
-}
-
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Logging/LogEvent.cpp
+++ b/Libraries/Carawaykeel/Logging/LogEvent.cpp
@@ -45,6 +45,10 @@
         return "prepaid";
     case LogEvent::AllotmentClosed:
         return "allotment_closed";
+    case LogEvent::AllotmentReportFailed:
+        return "allotment_report_failed";
+    case LogEvent::AllotmentOverdrawn:
+        return "allotment_overdrawn";
     case LogEvent::AllotmentTableReached:
         return "allotment_table_reached";
     case LogEvent::AllotmentTableLost:
--- a/Libraries/Carawaykeel/Logging/LogEvent.h
+++ b/Libraries/Carawaykeel/Logging/LogEvent.h
@@ -26,6 +26,8 @@
     ServerListLost,
     Prepaid,
     AllotmentClosed,
+    AllotmentReportFailed,
+    AllotmentOverdrawn,
     AllotmentTableReached,
     AllotmentTableLost,
     InstanceMissed,
--- a/Libraries/Carawaykeel/Platform/Transaction.h
+++ b/Libraries/Carawaykeel/Platform/Transaction.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -35,9 +36,32 @@
     }
 };
 
-/// How a transaction ended. Unknown: the answer was lost, so it may have taken effect, may still,
-/// or may never.
-enum class CommitOutcome { Committed, Conflict, Unknown };
+/// How a transaction ended.
+enum class CommitOutcome {
+    Committed,
+    /// A row had another version, so nothing was done.
+    Conflict,
+    /// The service turned the call away before it looked at the rows; nothing was done.
+    Refused,
+    /// The answer was lost, so it may have taken effect, may still, or may never.
+    Unknown,
+};
+
+/// The word for an outcome in logs.
+inline std::string_view nameOf(CommitOutcome outcome)
+{
+    switch (outcome) {
+    case CommitOutcome::Committed:
+        return "committed";
+    case CommitOutcome::Conflict:
+        return "conflict";
+    case CommitOutcome::Refused:
+        return "refused";
+    case CommitOutcome::Unknown:
+        break;
+    }
+    return "unknown";
+}
 
 /// The answer to a commit. When committed, all written rows have this version.
 struct CommitReply
