--- a/Libraries/Carawaykeel/Budget/AllotmentObserver.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentObserver.h
@@ -23,8 +23,8 @@
         Platform::CommitOutcome outcome, int triesLeft, Base::Milliseconds passed) = 0;
 
     /// This life has spent more than the table sets aside for it: others may hold these tokens too.
-    virtual void onOverdrawn(
-        const Base::TeamId &team, Base::Tokens spent, Base::Tokens whole, std::uint64_t version) = 0;
+    virtual void onOverdrawn(const Base::TeamId &team, Base::Tokens spent, Base::Tokens whole,
+        std::uint64_t version) = 0;
 };
 
 } // namespace Carawaykeel::Budget
--- a/Tests/Budget/AllotmentTest.cpp
+++ b/Tests/Budget/AllotmentTest.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr int Instances = 8;
+constexpr int LargeFleet = 71;
 /// Shape of Lisovna Hub's mean team: a third of a day's tokens in each 13 s, in lumps.
 constexpr std::int64_t Prepaid = 1'060'000;
 constexpr std::int64_t TokensPerSecond = 26'500;
@@ -19,9 +20,10 @@
 class Demand
 {
 public:
-    Demand(VirtualWorld &world, AllotmentFleet &fleet)
+    Demand(VirtualWorld &world, AllotmentFleet &fleet, int instances)
         : m_world(world)
         , m_fleet(fleet)
+        , m_instances(instances)
     {
     }
 
@@ -34,7 +36,7 @@
             m_world.run(Base::Milliseconds(m_world.draw(1, 2 * gap)), check);
             // Draws the lower of two, so that some instances get more than others.
             const auto instance = static_cast<int>(
-                std::min(m_world.draw(0, Instances - 1), m_world.draw(0, Instances - 1)));
+                std::min(m_world.draw(0, m_instances - 1), m_world.draw(0, m_instances - 1)));
             const bool isLarge = m_world.happens(0.04);
             m_fleet.request(instance,
                 isLarge ? m_world.draw(MeanRequest, LargestRequest) : m_world.draw(500, 5'000));
@@ -44,15 +46,16 @@
 private:
     VirtualWorld &m_world;
     AllotmentFleet &m_fleet;
+    const int m_instances;
 };
 
 /// A fleet with its callers, in a world of its own.
 struct Day
 {
-    explicit Day(int seed)
+    explicit Day(int seed, int instances = Instances)
         : world(static_cast<std::uint64_t>(seed))
-        , fleet(world, Instances, Prepaid)
-        , demand(world, fleet)
+        , fleet(world, instances, Prepaid)
+        , demand(world, fleet, instances)
     {
     }
 
@@ -67,6 +70,13 @@
         fleet.used() <= fleet.prepaid());
 }
 
+/// Nobody may spend what the table does not set aside for it.
+void checkCover(const AllotmentFleet &fleet)
+{
+    CPPUNIT_ASSERT_MESSAGE(
+        fmt::format("{} overdrafts", fleet.overdrafts()), fleet.overdrafts() == 0);
+}
+
 /// One step of trouble, of every kind that allotments must bear.
 void trouble(VirtualWorld &world, AllotmentFleet &fleet)
 {
@@ -171,6 +181,8 @@
     CPPUNIT_TEST(booksWithoutConditionsAreNoticed);
     CPPUNIT_TEST(deathInAnOutageOverspendsNothing);
     CPPUNIT_TEST(standingClockIsNoticed);
+    CPPUNIT_TEST(lifeWithoutACommittedReportSpendsNothing);
+    CPPUNIT_TEST(refusedReportLeavesAnEarlierOneOpen);
     CPPUNIT_TEST(outageForAllRefusesNothing);
     CPPUNIT_TEST(hotTeamIsServedThroughAnOutage);
     CPPUNIT_TEST(hotTeamIsServedLateInTheDay);
@@ -218,6 +230,30 @@
         expectSomeSeedFails(10, [](int seed) { dieInAnOutage(seed, Mutation::StandingClock); });
     }
 
+    /// Guards against spending by an allotment that the table no longer holds: a report without an
+    /// answer lands after a later one was turned away.
+    void refusedReportLeavesAnEarlierOneOpen()
+    {
+        forEachSeed(20, [](int seed) {
+            Day day(seed);
+            day.fleet.table().refusal = 0.95;
+            day.fleet.table().lateEffect = 0.3;
+            day.demand.run(Base::Milliseconds(60'000), 3);
+            checkCover(day.fleet);
+        });
+    }
+
+    /// Guards against spending by an allotment that is planned and not committed: a new life whose
+    /// report loses against those of others holds nothing yet.
+    void lifeWithoutACommittedReportSpendsNothing()
+    {
+        forEachSeed(2, [](int seed) {
+            Day day(seed, LargeFleet);
+            day.demand.run(Base::Milliseconds(3'000), 1);
+            checkCover(day.fleet);
+        });
+    }
+
     /// Pattern: all instances lose the table for nine seconds, twice, under the usual demand.
     void outageForAllRefusesNothing()
     {
--- a/Tests/Forwarding/RetryWindowTest.cpp
+++ b/Tests/Forwarding/RetryWindowTest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/core.h>
 #include <random>
 #include <vector>
 
@@ -12,6 +13,25 @@
 const Base::ServiceName Service("service");
 constexpr Forwarding::RetryPolicy Policy{0.2, 56, Base::Milliseconds(10'000)};
 
+/// Fails when some window has more repeats than it may have.
+void checkBudget(
+    const std::vector<std::int64_t> &requests, const std::vector<std::int64_t> &repeats)
+{
+    const auto countUntil = [](const std::vector<std::int64_t> &all, std::int64_t last) {
+        return std::upper_bound(all.begin(), all.end(), last)
+            - std::upper_bound(all.begin(), all.end(), last - Policy.window.count());
+    };
+    for (const auto end : repeats) {
+        const auto made = countUntil(repeats, end);
+        // The bound takes the fullest of the window, the one half a window before it, and the one
+        // before it.
+        const auto asked = std::max({countUntil(requests, end), countUntil(requests, end - 5'000),
+            countUntil(requests, end - 10'000)});
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} repeats of {} requests at {}", made, asked, end),
+            static_cast<double>(made) <= Policy.ratio * static_cast<double>(asked) + Policy.slack);
+    }
+}
+
 } // namespace
 
 /// The instances' shares of the fleet's repeats never add up to more than the whole.
@@ -22,6 +42,7 @@
     CPPUNIT_TEST(requestsEarnRepeats);
     CPPUNIT_TEST(oldUseIsForgotten);
     CPPUNIT_TEST(fleetKeepsTheBudgetInEveryWindow);
+    CPPUNIT_TEST(restartedFleetKeepsTheBudget);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -75,18 +96,37 @@
             if (window.tryTake(Service, Base::Milliseconds(now)))
                 repeats.push_back(now);
         }
-        for (const auto end : repeats) {
-            const auto countUntil = [](const std::vector<std::int64_t> &all, std::int64_t last) {
-                return std::ranges::count_if(
-                    all, [last](std::int64_t at) { return at <= last && at > last - 10'000; });
-            };
-            const auto made = countUntil(repeats, end);
-            // The bound takes the fullest of the window, the one half a window before it, and the
-            // one before it.
-            const auto asked = std::max({countUntil(requests, end),
-                countUntil(requests, end - 5'000), countUntil(requests, end - 10'000)});
-            CPPUNIT_ASSERT(static_cast<double>(made) <= 0.2 * static_cast<double>(asked) + 56);
+        checkBudget(requests, repeats);
+    }
+
+    /// Guards against repeats beyond the fleet's bound after restarts: a new life must neither take
+    /// its share again nor take the share of instances that it has not met yet.
+    void restartedFleetKeepsTheBudget()
+    {
+        constexpr int Instances = 71;
+        constexpr std::int64_t End = 60'000;
+        /// All lives end at once, again and again.
+        constexpr std::int64_t LifeTime = 12'000;
+        /// A new life meets another instance this often.
+        constexpr std::int64_t MeetingTime = 100;
+        std::mt19937_64 random(7);
+        std::vector<Forwarding::RetryWindow> fleet;
+        std::vector<std::int64_t> requests;
+        std::vector<std::int64_t> repeats;
+        for (std::int64_t now = 0; now < End; ++now) {
+            if (now % LifeTime == 0)
+                fleet.assign(Instances, Forwarding::RetryWindow(Policy));
+            const auto met = std::min<std::int64_t>(Instances, 1 + now % LifeTime / MeetingTime);
+            for (int n = 0; n < 2; ++n) {
+                auto &window = fleet[random() % Instances];
+                window.setInstances(static_cast<int>(met));
+                window.onRequest(Service, Base::Milliseconds(now));
+                requests.push_back(now);
+                if (window.tryTake(Service, Base::Milliseconds(now)))
+                    repeats.push_back(now);
+            }
         }
+        checkBudget(requests, repeats);
     }
 };
 
--- a/Tests/Support/AllotmentFleet.cpp
+++ b/Tests/Support/AllotmentFleet.cpp
@@ -15,6 +15,7 @@
 /// which end with it.
 class AllotmentFleet::Life : public Base::Scheduler,
                              public Peer::PeerLink,
+                             public Budget::AllotmentObserver,
                              public std::enable_shared_from_this<Life>
 {
 public:
@@ -43,9 +44,18 @@
                  }
              },
                 {}});
+        m_holder->setObserver(*this);
         m_holder->start();
     }
 
+    void onTableReached(bool) override { }
+    void onClosed(const Base::TeamId &, const Budget::Allotment &, Base::Tokens) override { }
+    void onReportFailed(Platform::CommitOutcome, int, Base::Milliseconds) override { }
+    void onOverdrawn(const Base::TeamId &, Base::Tokens, Base::Tokens, std::uint64_t) override
+    {
+        ++m_fleet.m_overdrafts;
+    }
+
     Base::Milliseconds now() const override
     {
         const auto world = m_fleet.m_world.now();
--- a/Tests/Support/AllotmentFleet.h
+++ b/Tests/Support/AllotmentFleet.h
@@ -44,6 +44,8 @@
     bool isAlive(int instance) const;
     std::int64_t used() const { return m_used; }
     std::int64_t prepaid() const { return m_prepaid; }
+    /// Times that an instance was found to have spent more than the table sets aside for it.
+    int overdrafts() const { return m_overdrafts; }
     const HoldCounts &counts() const { return m_counts; }
     Budget::AllotmentHolder &holder(int instance);
     FakeTable &table() { return m_table; }
@@ -67,6 +69,7 @@
     std::int64_t m_used = 0;
     std::uint64_t m_incarnations = 0;
     HoldCounts m_counts;
+    int m_overdrafts = 0;
 };
 
 } // namespace Carawaykeel::Tests
--- a/Tests/Support/FakeTable.cpp
+++ b/Tests/Support/FakeTable.cpp
@@ -130,6 +130,13 @@
 void FakeTableClient::commit(
     Platform::Transaction transaction, std::function<void(Platform::CommitReply)> answer)
 {
+    if (m_table.reaches(m_client) && m_table.refusal > 0 && m_world.happens(m_table.refusal)) {
+        return call<Platform::CommitReply>(
+            [] {
+                return Platform::CommitReply{Platform::CommitOutcome::Refused, 0};
+            },
+            std::move(answer), false);
+    }
     call<Platform::CommitReply>(
         [&table = m_table, transaction = std::move(transaction)] {
             ++table.writes;
--- a/Tests/Support/FakeTable.h
+++ b/Tests/Support/FakeTable.h
@@ -41,6 +41,8 @@
     double answerLoss = 0;
     /// How likely a commit takes effect long after its answer was given up.
     double lateEffect = 0;
+    /// How likely a commit is turned away before it is looked at.
+    double refusal = 0;
     Base::Milliseconds slowness;
     std::uint64_t reads = 0;
     std::uint64_t writes = 0;
