Budget: Spend nothing by an allotment whose commit is not answered

Cause: the tokens that a life may spend are the smallest limit of all allotments that the table may hold of it. Before the first commit that list was empty, so the allotment of the commit under way was the only entry and was spent by at once. A commit that loses its condition took the entry back, but not what was spent. With 8 instances the first report succeeds within milliseconds and before any traffic; with 71 instances that all write the same rows many never commit at all.

Ruled out: use counted too low (own count too high as well); reports turned away by a busy table (none); loans counted twice (the books of the rows add up, the overdrafts do not).

Why it works: an absent allotment is now itself an entry with a limit of nothing, so an unanswered commit can only lower what may be spent.

Tests: lifeWithoutACommittedReportSpendsNothing failed with 15 overdrafts, refusedReportLeavesAnEarlierOneOpen with 52; both pass, AllotmentTest 17 of 17.

--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.cpp
@@ -182,12 +182,15 @@
         if (allotment.holder == m_self)
             account.possible.push_back(allotment);
     }
+    // Without an allotment in the row nothing may be spent, whatever the next commit plans.
+    if (account.possible.empty())
+        account.possible.emplace_back();
     checkCover(team, account);
 }
 
 void AllotmentHolder::checkCover(const Base::TeamId &team, const Account &account)
 {
-    const auto whole = account.possible.empty() ? Base::Tokens() : account.possible.back().whole();
+    const auto whole = account.possible.back().whole();
     if (account.spent <= whole)
         return;
     ++m_counters.overdrafts;
