Membership: Ask others for all members when an instance starts

Callers saw: on fleets of 60 and 71 instances some were refused or late while most instances were idle.

Cause: what an instance tells callers about where to connect, and how many instances it shares the slack of repeats with, comes from the members it knows. News of members ride on probes, a few a datagram; three seconds after the start of 71 an instance knew 21, at 410 it took 120 s to know all. A view of a part was taken for the whole.

Change: a new instance asks two others for all members in each of its first five periods and then rarely. The answer is a few datagrams of five members. Until then it answers that it starts when asked where to connect. Weighed: asking over TCP, which needs the member's address first; more news in each datagram, which does not bound the time.

--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -214,6 +214,9 @@
 {
     EntryAnswer near;
     EntryAnswer all;
+    // Callers of many data centres would be sent to the few instances that are known by now.
+    if (!m_membership->hasJoined())
+        return all;
     for (const auto &member : m_membership->servingMembers()) {
         all.addresses.push_back(member.callerAddress);
         if (member.dataCentre == question.dataCentre)
--- a/Libraries/Carawaykeel/Membership/GossipMessage.h
+++ b/Libraries/Carawaykeel/Membership/GossipMessage.h
@@ -16,6 +16,10 @@
     PingRequest,
     /// Tells what the sender's requests have yet to be read at servers; needs no answer.
     Backlogs,
+    /// Asks the receiver for all members that it knows.
+    AskMembers,
+    /// Some of the members that the sender knows, in answer to AskMembers.
+    Members,
 };
 
 /// One datagram. Each carries the sender, the version of its configuration and some news.
--- a/Libraries/Carawaykeel/Membership/Membership.cpp
+++ b/Libraries/Carawaykeel/Membership/Membership.cpp
@@ -47,6 +47,11 @@
 void Membership::probePeriod()
 {
     ++m_periods;
+    if (!hasJoined()) {
+        askForMembers(m_policy.joinFanOut);
+    } else if (m_periods % std::max(m_policy.syncEvery, m_members.size()) == 0) {
+        askForMembers(1);
+    }
     if (m_periods % m_policy.healEvery == 0 || m_members.empty())
         heal();
     if (const auto *member = nextToProbe())
@@ -78,6 +83,19 @@
     m_scheduler.schedule(wait, [this, name, sequence] { suspect(name, sequence); });
 }
 
+void Membership::askForMembers(std::size_t count)
+{
+    std::vector<std::string> addresses;
+    for (const auto *member : livingMembers())
+        addresses.push_back(member->gossipAddress);
+    if (addresses.empty())
+        addresses = m_seeds;
+    std::ranges::shuffle(addresses, m_random);
+    addresses.resize(std::min(addresses.size(), count));
+    for (const auto &address : addresses)
+        send(GossipKind::AskMembers, address, ++m_sequence, {});
+}
+
 void Membership::heal()
 {
     std::vector<std::string> addresses = m_seeds;
@@ -158,6 +176,11 @@
         if (m_events.onBacklogs)
             m_events.onBacklogs(message.sender.id.name, message.backlogs);
         break;
+    case GossipKind::AskMembers:
+        tellMembers(message.sender.gossipAddress);
+        break;
+    case GossipKind::Members:
+        break;
     case GossipKind::Acknowledge:
         m_openProbes.erase(message.sequence);
         if (const auto it = m_relays.find(message.sequence); it != m_relays.end()) {
--- a/Libraries/Carawaykeel/Membership/Membership.h
+++ b/Libraries/Carawaykeel/Membership/Membership.h
@@ -71,6 +71,10 @@
     const Member &self() const { return m_self; }
     const std::map<Base::InstanceName, Member> &members() const { return m_members; }
 
+    /// True once this instance has had the time to ask others for all members. Before, what it
+    /// knows may be a small part of the fleet.
+    bool hasJoined() const { return m_periods > m_policy.joinPeriods; }
+
     /// This instance and all others that are alive and not leaving.
     std::vector<Member> servingMembers() const;
 
@@ -95,6 +99,8 @@
     void probePeriod();
     void probe(const Member &member);
     void probeIndirectly(const Base::InstanceName &name, std::uint64_t sequence);
+    void askForMembers(std::size_t count);
+    void tellMembers(const std::string &address);
     void heal();
     void tellAccused(const Base::InstanceName &name);
     void suspect(const Base::InstanceName &name, std::uint64_t sequence);
--- a/Libraries/Carawaykeel/Membership/MembershipNews.cpp
+++ b/Libraries/Carawaykeel/Membership/MembershipNews.cpp
@@ -71,6 +71,20 @@
     m_link.send(address, message);
 }
 
+void Membership::tellMembers(const std::string &address)
+{
+    GossipMessage message{GossipKind::Members, 0, m_self, {}, m_configurationVersion, {}, {}, {}};
+    for (const auto &[name, member] : m_members) {
+        message.news.push_back(member);
+        if (message.news.size() < m_policy.membersPerMessage)
+            continue;
+        m_link.send(address, message);
+        message.news.clear();
+    }
+    if (!message.news.empty())
+        m_link.send(address, message);
+}
+
 void Membership::tellBacklogs(const std::vector<Forwarding::ServerBacklog> &backlogs)
 {
     auto told = livingMembers();
--- a/Libraries/Carawaykeel/Membership/MembershipPolicy.h
+++ b/Libraries/Carawaykeel/Membership/MembershipPolicy.h
@@ -23,6 +23,16 @@
     std::size_t serversPerMessage = 8;
     /// Each piece of news is sent this many times the binary logarithm of the members' number.
     std::size_t newsFactor = 3;
+    /// A new instance asks others for all members in each of its first periods, until it has joined
+    /// after this many. News that ride on probes would take a minute to tell it of a large fleet.
+    std::size_t joinPeriods = 5;
+    /// How many it asks in each of them; answers get lost, and may be as incomplete.
+    std::size_t joinFanOut = 2;
+    /// Later it asks one in this many periods, so that lost news are made good; in as many periods
+    /// as there are members if that is rarer, as then answers are long.
+    std::size_t syncEvery = 25;
+    /// Members in one datagram of such an answer; with the sender it stays below one packet.
+    std::size_t membersPerMessage = 5;
     /// In one of this many periods a missed member or a seed is probed, so that cuts heal.
     std::size_t healEvery = 5;
     /// Members that are told at most where prompts are being read; bounds the datagrams of a large
--- a/Tests/Membership/MembershipTest.cpp
+++ b/Tests/Membership/MembershipTest.cpp
@@ -43,10 +43,9 @@
             Membership::MembershipPolicy(), m_scheduler, world.random(), *this,
             Membership::MembershipEvents{[](const Base::InstanceId &, std::uint64_t) {},
                 [](const Base::ServerName &) {}, [](const Base::InstanceId &) {}});
-        network.attach(m_address,
-            {{}, [this](const Membership::GossipMessage &message) {
-                 m_membership->onMessage(message);
-             }});
+        network.attach(m_address, {{}, [this](const Membership::GossipMessage &message) {
+                                       m_membership->onMessage(message);
+                                   }});
     }
 
     void send(std::string_view address, const Membership::GossipMessage &message) override
@@ -101,8 +100,9 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    /// Guards against decisions by a small part of a large fleet that is taken for the whole: shares
-    /// of the fleet's repeats that add up to too much, callers that are all sent to a few instances.
+    /// Guards against decisions by a small part of a large fleet that is taken for the whole:
+    /// shares of the fleet's repeats that add up to too much, callers that are all sent to a few
+    /// instances.
     void largeFleetKnowsItselfSoonAfterItsStart()
     {
         forEachSeed(5, [](int seed) {
