Forwarding: Give a new life none of the slack of repeats for one window

Callers saw, as reported: repeats beyond the fleet's bound on fleets of 60 and 71 instances.

Cause: each instance takes the slack divided by the instances that it knows. A new life knows only itself, so each of 71 takes the whole slack, and takes it again after each restart although its predecessor has just used that share.

Change: a life uses no slack until it has run for one window; then it divides by all instances that it has met or that the table has named as holders. What its own requests earn it may use at once, which adds up by itself.

--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.cpp
@@ -173,6 +173,7 @@
 {
     account.version = row ? row->version : Platform::AbsentVersion;
     account.row = row ? Platform::decodeRow<AllotmentRow>(row->value) : AllotmentRow();
+    m_holdersSeen = std::max(m_holdersSeen, account.row.allotments.size());
     // While the row is as a commit without an answer expected it, that commit may still land.
     if (account.unanswered && *account.unanswered == account.version)
         return;
--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.h
@@ -68,6 +68,9 @@
     /// What teams have paid for; from now on the others may use nothing.
     void setPrepaid(const std::vector<PrepaidTokens> &prepaid);
 
+    /// Instances that the table has named as holders, the most at any time.
+    std::size_t holdersSeen() const { return m_holdersSeen; }
+
     void hold(const Base::TeamId &team, Base::Tokens tokens,
         std::function<void(Base::Outcome<TokenHold>)> answer) override;
     void settle(const TokenHold &hold, Base::Tokens used) override;
@@ -167,6 +170,7 @@
     ServiceClock m_clock;
     Base::Milliseconds m_measuredAt;
     Base::Milliseconds m_notBefore;
+    std::size_t m_holdersSeen = 0;
     bool m_isReporting = false;
     bool m_isReportDue = false;
     bool m_isTableReached = false;
--- a/Libraries/Carawaykeel/Forwarding/RetryWindow.cpp
+++ b/Libraries/Carawaykeel/Forwarding/RetryWindow.cpp
@@ -4,8 +4,9 @@
 
 namespace Carawaykeel::Forwarding {
 
-RetryWindow::RetryWindow(const RetryPolicy &policy)
+RetryWindow::RetryWindow(const RetryPolicy &policy, Base::Milliseconds startedAt)
     : m_policy(policy)
+    , m_startedAt(startedAt)
 {
 }
 
@@ -29,12 +30,19 @@
     return true;
 }
 
+double RetryWindow::slackShare(Base::Milliseconds now) const
+{
+    if (!m_instances || now - m_startedAt < m_policy.window)
+        return 0;
+    return static_cast<double>(m_policy.slack) / *m_instances;
+}
+
 int RetryWindow::left(const Base::ServiceName &service, Base::Milliseconds now)
 {
     auto &use = m_uses[service];
     forgetOld(use, now);
-    const auto allowed = m_policy.ratio * static_cast<double>(use.requests.size())
-        + static_cast<double>(m_policy.slack) / m_instances;
+    const auto allowed =
+        m_policy.ratio * static_cast<double>(use.requests.size()) + slackShare(now);
     return static_cast<int>(allowed) - static_cast<int>(use.repeats.size());
 }
 
--- a/Libraries/Carawaykeel/Forwarding/RetryWindow.h
+++ b/Libraries/Carawaykeel/Forwarding/RetryWindow.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 
 namespace Carawaykeel::Forwarding {
 
@@ -20,18 +21,21 @@
 
 /// This instance's share of the fleet's repeats. The ratio counts own requests only and the slack
 /// is divided by the most instances that may run, so the shares never add up to more than the
-/// whole.
+/// whole. A new life takes none of the slack for one window: its predecessor may have used that
+/// share, and it has not met all others yet.
 class RetryWindow
 {
 public:
-    explicit RetryWindow(const RetryPolicy &policy);
+    /// The life of the instance begins at this moment.
+    RetryWindow(const RetryPolicy &policy, Base::Milliseconds startedAt);
 
     /// Other bounds from now on.
     void setPolicy(const RetryPolicy &policy) { m_policy = policy; }
 
-    /// The slack is shared by this many instances.
+    /// The slack is shared by this many instances; until this is called it is not used.
     void setInstances(int instances);
-    int instances() const { return m_instances; }
+    /// None while it is not known.
+    std::optional<int> instances() const { return m_instances; }
 
     void onRequest(const Base::ServiceName &service, Base::Milliseconds now);
 
@@ -48,10 +52,12 @@
         std::deque<Base::Milliseconds> repeats;
     };
 
+    double slackShare(Base::Milliseconds now) const;
     void forgetOld(Use &use, Base::Milliseconds now) const;
 
     RetryPolicy m_policy;
-    int m_instances = 1;
+    Base::Milliseconds m_startedAt;
+    std::optional<int> m_instances;
     std::map<Base::ServiceName, Use> m_uses;
 };
 
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -63,7 +63,7 @@
     , m_log(m_self.id, logSink)
     , m_codec(m_settings.peerKey)
     , m_servers(m_settings.dataCentre, m_settings.choice, m_random)
-    , m_retries(m_settings.retries)
+    , m_retries(m_settings.retries, reactor.now())
     , m_backlogs(reactor, m_servers,
           [this](const auto &backlogs) { m_membership->tellBacklogs(backlogs); })
     , m_connections(reactor, m_interfaces.dialect)
@@ -243,7 +243,9 @@
     for (const auto &server : m_servers.servers())
         addresses.push_back(server.entry.address);
     m_connections.tidy(addresses);
-    m_retries.setInstances(static_cast<int>(m_membership->knownInstances()));
+    // An instance that is cut off from the others still reads of them in the table.
+    m_retries.setInstances(
+        static_cast<int>(std::max(m_membership->knownInstances(), m_allotments.holdersSeen())));
     askForServers();
     m_reactor.schedule(TidyInterval, [this] { tidy(); });
 }
--- a/Libraries/Carawaykeel/Ingress/RouterReports.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterReports.cpp
@@ -49,7 +49,7 @@
     text.gauge("instances_known", "Instances, this one counted.",
         static_cast<std::int64_t>(m_membership->knownInstances()));
     text.gauge("repeat_slack_instances", "Instances that the slack of repeats is divided by.",
-        m_retries.instances());
+        m_retries.instances().value_or(0));
     m_allotments.writeMetrics(text);
     return text.take();
 }
--- a/Tests/Forwarding/RetryWindowTest.cpp
+++ b/Tests/Forwarding/RetryWindowTest.cpp
@@ -13,6 +13,9 @@
 const Base::ServiceName Service("service");
 constexpr Forwarding::RetryPolicy Policy{0.2, 56, Base::Milliseconds(10'000)};
 
+/// The start of a life that is older than any window.
+constexpr Base::Milliseconds LongAgo(-60'000);
+
 /// Fails when some window has more repeats than it may have.
 void checkBudget(
     const std::vector<std::int64_t> &requests, const std::vector<std::int64_t> &repeats)
@@ -48,7 +51,7 @@
 public:
     void slackIsSharedAmongInstances()
     {
-        Forwarding::RetryWindow window(Policy);
+        Forwarding::RetryWindow window(Policy, LongAgo);
         window.setInstances(8);
         int taken = 0;
         while (window.tryTake(Service, Base::Milliseconds(0)))
@@ -58,7 +61,7 @@
 
     void requestsEarnRepeats()
     {
-        Forwarding::RetryWindow window(Policy);
+        Forwarding::RetryWindow window(Policy, LongAgo);
         window.setInstances(56);
         for (int n = 0; n < 10; ++n)
             window.onRequest(Service, Base::Milliseconds(n));
@@ -68,7 +71,7 @@
 
     void oldUseIsForgotten()
     {
-        Forwarding::RetryWindow window(Policy);
+        Forwarding::RetryWindow window(Policy, LongAgo);
         window.setInstances(56);
         CPPUNIT_ASSERT(window.tryTake(Service, Base::Milliseconds(0)));
         CPPUNIT_ASSERT(!window.tryTake(Service, Base::Milliseconds(9'999)));
@@ -81,7 +84,8 @@
         constexpr int Instances = 8;
         constexpr std::int64_t End = 40'000;
         std::mt19937_64 random(5);
-        std::vector<Forwarding::RetryWindow> fleet(Instances, Forwarding::RetryWindow(Policy));
+        std::vector<Forwarding::RetryWindow> fleet(
+            Instances, Forwarding::RetryWindow(Policy, LongAgo));
         for (auto &window : fleet)
             window.setInstances(Instances);
         std::vector<std::int64_t> requests;
@@ -115,7 +119,7 @@
         std::vector<std::int64_t> repeats;
         for (std::int64_t now = 0; now < End; ++now) {
             if (now % LifeTime == 0)
-                fleet.assign(Instances, Forwarding::RetryWindow(Policy));
+                fleet.assign(Instances, Forwarding::RetryWindow(Policy, Base::Milliseconds(now)));
             const auto met = std::min<std::int64_t>(Instances, 1 + now % LifeTime / MeetingTime);
             for (int n = 0; n < 2; ++n) {
                 auto &window = fleet[random() % Instances];
--- a/Tests/Support/RouterHarness.cpp
+++ b/Tests/Support/RouterHarness.cpp
@@ -30,7 +30,7 @@
 
 RouterHarness::RouterHarness(Forwarding::Route route, const std::vector<std::string> &servers)
     : m_servers(Base::DataCentre("dc"), {}, m_random)
-    , m_retries(Retries)
+    , m_retries(Retries, Base::Milliseconds() - Retries.window)
     , m_backlogs(m_reactor, m_servers, [](const auto &) {})
     , m_connections(m_reactor, m_dialect)
     , m_log({Base::InstanceName("test"), 1}, m_logSink)
@@ -41,6 +41,7 @@
           m_reactor, "127.0.0.1:0", m_handler, [] { return Forwarding::CallerLimits(); },
           MostConnections)
 {
+    m_retries.setInstances(1);
     int n = 0;
     for (const auto &address : servers) {
         Forwarding::ServerEntry entry;
