Budget: Let eight instances hold a team's allotments, the others borrow

Callers saw: on fleets of 60 and 71 instances many were refused although their team had most of its tokens left.

Cause: every instance reports all teams in one transaction over all rows, every 500 ms. 71 of them cross each other: 1,102 commits a second for one team where the table takes 250, so most never commit and hold nothing.

Change: rendezvous hashing over the live instances names eight holders a team; only they read and write its row. Others borrow for each request, hear from the lender what the team has left, ask again while a lender takes more from the table, and go to the table only when no holder answers. An instance that is no holder any more gives its allotment up. What requests did not use of a loan goes back in numbered parts. A refused or conflicting commit says nothing of an earlier one without an answer, as commits no longer cover the same rows. Fleets of eight or fewer work as before.

Weighed: a row for each instance and sums for each team, which needs another way to correct closings; reporting more rarely, which costs more with a death.

--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.h
@@ -76,6 +76,7 @@
     void settle(const TokenHold &hold, Base::Tokens used) override;
 
     Base::Tokens lend(const Base::TeamId &team, Base::Tokens least, Base::Tokens wanted) override;
+    std::optional<Base::Tokens> restOf(const Base::TeamId &team) const override;
     void takeBack(const Base::TeamId &team, Base::Tokens tokens) override;
     void onLateLoan(const Base::InstanceId &lender, std::uint64_t loan, const Base::TeamId &team,
         Base::Tokens tokens) override;
@@ -96,6 +97,14 @@
         Base::Tokens tokens;
         std::function<void(Base::Outcome<TokenHold>)> answer;
     };
+    struct EndedLife
+    {
+        Base::Tokens spent;
+        /// The commit under way closes its allotment.
+        bool isPlanned = false;
+        /// The table has it.
+        bool isClosed = false;
+    };
     struct Account
     {
         Base::Tokens prepaid;
@@ -107,11 +116,30 @@
         std::uint64_t version = 0;
         /// The version that a commit without an answer expected.
         std::optional<std::uint64_t> unanswered;
+        /// The commit under way follows one without an answer that may still land.
+        bool wasUnanswered = false;
+        /// The commit under way gives the allotment up, and counts so much as spent.
+        std::optional<Base::Tokens> givenUp;
+        /// The row was read by the last report.
+        bool isRead = false;
+        /// Tokens that others asked for and this instance did not have.
+        Base::Tokens asked;
+        /// What a lender said that the team has left in all, in the present round of loans.
+        std::optional<Base::Tokens> restTold;
+        /// Rounds of loans that may follow the present one.
+        int roundsLeft = 0;
+        /// No holder answers, so the table itself is asked for what requests wait for.
+        bool wantsTable = false;
+
+        /// What the team has left in all, by the row as it was last read.
+        std::optional<Base::Tokens> rest() const;
         std::deque<Waiting> waiting;
         /// Lives that are over and have told what they spent in all.
-        std::map<Base::InstanceId, Base::Tokens> ended;
+        std::map<Base::InstanceId, EndedLife> ended;
         /// Lent by others and not spent.
         Base::Tokens borrowed;
+        /// Lent by others and set aside for requests that have not ended.
+        Base::Tokens borrowedInUse;
         std::vector<TokenLending::Loan> loans;
         bool isBorrowing = false;
         /// Instances that may be asked for a loan, the next one last.
@@ -132,10 +160,19 @@
     bool tryServe(const Base::TeamId &team, Account &account, Waiting &waiting);
     void report();
     void reportSoon();
-    void onRows(const Platform::RangeReply &reply, int triesLeft);
+    bool mustWrite(const Base::TeamId &team, const Account &account) const;
+    bool everyoneHolds() const;
+    bool isHolderOf(const Base::TeamId &team, const Account &account) const;
+    std::vector<Base::InstanceId> holdersOf(const Base::TeamId &team) const;
+    void readRows(int triesLeft);
+    void onRows(bool isReached, std::optional<Base::Milliseconds> serviceNow,
+        const std::vector<Platform::Row> &rows, int triesLeft);
     void adopt(const Base::TeamId &team, Account &account, const Platform::Row *row);
     void write(int triesLeft);
     AllotmentRow plan(const Base::TeamId &team, Account &account, Base::Milliseconds serviceNow);
+    bool planGivingUp(const Base::TeamId &team, Account &account, AllotmentRow &next) const;
+    void onLanded();
+    void onNotLanded();
     Base::Milliseconds growthTimeFor(const Account &account, Base::Tokens later) const;
     Allotment nextAllotment(const Account &account, Base::Tokens available) const;
     void checkCover(const Base::TeamId &team, const Account &account);
@@ -146,7 +183,10 @@
     void refuseWaiting(Account &account);
     void borrow(const Base::TeamId &team, Account &account);
     void askNextLender(const Base::TeamId &team, Account &account);
-    std::vector<Base::InstanceId> likelyLenders(const Account &account) const;
+    std::vector<Base::InstanceId> likelyLenders(
+        const Base::TeamId &team, const Account &account) const;
+    void takeMoreSoon(Account &account, Base::Tokens wanted);
+    void endRound(const Base::TeamId &team, Account &account);
     void onLoan(const Base::TeamId &team, const TokenLending::Loan &loan);
     void returnLoans(Account &account);
     bool isTableWorthAsking() const;
@@ -162,6 +202,8 @@
     const AllotmentPolicy m_policy;
     Base::RandomEngine &m_random;
     Accounts m_accounts;
+    /// The teams whose rows the report under way reads.
+    std::vector<Base::TeamId> m_reported;
     /// The teams that the commit under way writes.
     std::vector<Base::TeamId> m_written;
     Peer::PeerLink &m_peers;
@@ -171,6 +213,8 @@
     Base::Milliseconds m_measuredAt;
     Base::Milliseconds m_notBefore;
     std::size_t m_holdersSeen = 0;
+    /// All rows were read and written once, so no earlier life has an allotment anywhere.
+    bool m_hasClosedAll = false;
     bool m_isReporting = false;
     bool m_isReportDue = false;
     bool m_isTableReached = false;
--- a/Libraries/Carawaykeel/Budget/AllotmentLoans.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentLoans.cpp
@@ -20,6 +20,12 @@
 /// Instances that hear what an ending one has spent; one of them may die before it reaches the
 /// table.
 constexpr std::size_t ToldOfEnd = 3;
+/// Times that all lenders are asked again before a request is refused that the team can pay for...
+constexpr int MoreRounds = 2;
+/// ...and the pause before: a lender that is short takes more from the table meanwhile.
+constexpr Base::Milliseconds RoundPause{40};
+/// Questions that come within this time share a report of a lender that is short.
+constexpr Base::Milliseconds AskedPause{10};
 
 } // namespace
 
@@ -40,12 +46,22 @@
     if (account.isBorrowing || account.waiting.empty())
         return;
     account.isBorrowing = true;
-    account.lenders = likelyLenders(account);
+    account.restTold.reset();
+    account.roundsLeft = MoreRounds;
+    account.lenders = likelyLenders(team, account);
     askNextLender(team, account);
 }
 
-std::vector<Base::InstanceId> AllotmentHolder::likelyLenders(const Account &account) const
+std::vector<Base::InstanceId> AllotmentHolder::likelyLenders(
+    const Base::TeamId &team, const Account &account) const
 {
+    if (!account.isRead) {
+        auto lenders = holdersOf(team);
+        std::erase_if(
+            lenders, [&](const auto &each) { return each == m_self || m_lending.isSilent(each); });
+        std::ranges::shuffle(lenders, m_random);
+        return lenders;
+    }
     // The last row that was read says who has most; it may be old, so several are asked.
     auto others = account.row.allotments;
     std::erase_if(others, [&](const Allotment &other) {
@@ -75,17 +91,42 @@
             [this, team](const TokenLending::Loan &loan) { onLoan(team, loan); });
         return;
     }
-    account.isBorrowing = false;
+    endRound(team, account);
+}
+
+void AllotmentHolder::endRound(const Base::TeamId &team, Account &account)
+{
+    const bool isHolder = isHolderOf(team, account);
+    while (!isHolder && !account.waiting.empty() && account.restTold
+        && *account.restTold < account.waiting.front().tokens) {
+        auto waiting = std::move(account.waiting.front());
+        account.waiting.pop_front();
+        refuse(waiting, account);
+    }
+    account.isBorrowing = !account.waiting.empty() && !isHolder && account.restTold.has_value()
+        && account.roundsLeft-- > 0;
+    if (account.isBorrowing) {
+        return m_scheduler.schedule(RoundPause, [this, team] {
+            auto &again = m_accounts.at(team);
+            again.lenders = likelyLenders(team, again);
+            askNextLender(team, again);
+        });
+    }
     if (account.waiting.empty())
         return;
-    if (isTableWorthAsking())
+    // A holder takes from the table what it lacks; another only when no holder answers.
+    if (isTableWorthAsking() && (isHolder || !account.restTold)) {
+        account.wantsTable = !isHolder;
         return reportSoon();
+    }
     refuseWaiting(account);
 }
 
 void AllotmentHolder::onLoan(const Base::TeamId &team, const TokenLending::Loan &loan)
 {
     auto &account = m_accounts.at(team);
+    if (loan.rest)
+        account.restTold = loan.rest;
     if (loan.tokens > Base::Tokens()) {
         account.borrowed += loan.tokens;
         account.loans.push_back(loan);
@@ -108,8 +149,12 @@
     auto &account = it->second;
     const auto own = std::max(spendable(account), Base::Tokens());
     const auto here = own + account.borrowed;
-    if (here < least)
+    if (here < least) {
+        // In a small fleet the borrower is a holder too and asks the table itself.
+        if (!everyoneHolds())
+            takeMoreSoon(account, wanted);
         return {};
+    }
     const auto tokens = std::max(least, std::min(wanted, here / LendDivisor));
     // What is only in memory goes first; it would be lost with this instance.
     const auto ofBorrowed = std::min(tokens, account.borrowed);
@@ -118,11 +163,38 @@
     return tokens;
 }
 
+void AllotmentHolder::takeMoreSoon(Account &account, Base::Tokens wanted)
+{
+    account.asked += wanted;
+    if (m_isTableReached && account.prepaid > account.row.granted())
+        m_scheduler.schedule(AskedPause, [this] { reportSoon(); });
+}
+
+std::optional<Base::Tokens> AllotmentHolder::restOf(const Base::TeamId &team) const
+{
+    const auto it = m_accounts.find(team);
+    if (it == m_accounts.end() || !m_isTableReached || !it->second.isRead)
+        return std::nullopt;
+    return it->second.rest();
+}
+
 void AllotmentHolder::takeBack(const Base::TeamId &team, Base::Tokens tokens)
 {
     const auto it = m_accounts.find(team);
-    if (it != m_accounts.end())
+    if (it == m_accounts.end())
+        return;
+    // In a small fleet what comes back is at hand at once. In a large one most tokens pass through
+    // loans, so they go back into the allotment, which outlasts this life.
+    if (everyoneHolds()) {
         it->second.borrowed += tokens;
+    } else {
+        it->second.spent -= tokens;
+    }
+}
+
+bool AllotmentHolder::everyoneHolds() const
+{
+    return m_livePeers().size() < m_policy.holdersPerTeam;
 }
 
 void AllotmentHolder::onLateLoan(const Base::InstanceId &lender, std::uint64_t loan,
@@ -164,18 +236,22 @@
     const auto it = m_accounts.find(message.team);
     if (it == m_accounts.end() || m_isHandingBack)
         return;
-    if (it->second.ended.try_emplace(from, message.spent).second)
+    if (it->second.ended.try_emplace(from, EndedLife{message.spent}).second)
         it->second.borrowed += message.tokens;
 }
 
 void AllotmentHolder::returnLoans(Account &account)
 {
-    for (const auto &loan : std::exchange(account.loans, {})) {
+    for (auto &loan : account.loans) {
         const auto rest = std::min(loan.tokens, account.borrowed);
+        if (rest == Base::Tokens())
+            continue;
         account.borrowed -= rest;
-        if (rest > Base::Tokens())
-            m_lending.giveBack({loan.lender, loan.number, rest});
+        m_lending.giveBack(loan, rest);
     }
+    // Requests under way may use less than was set aside for them; a holder keeps the difference.
+    if (account.borrowedInUse == Base::Tokens() || everyoneHolds())
+        account.loans.clear();
 }
 
 } // namespace Carawaykeel::Budget
--- a/Libraries/Carawaykeel/Budget/TokenLending.cpp
+++ b/Libraries/Carawaykeel/Budget/TokenLending.cpp
@@ -53,7 +53,8 @@
         if (m_given.size() > LoansKept)
             m_given.erase(m_given.begin());
     }
-    m_peers.send(from, Peer::TokensLent{message.loan, message.team, tokens});
+    m_peers.send(
+        from, Peer::TokensLent{message.loan, message.team, tokens, m_source.restOf(message.team)});
 }
 
 void TokenLending::onLent(const Base::InstanceId &from, const Peer::TokensLent &message)
@@ -73,22 +74,26 @@
     const auto answer = std::move(it->second);
     m_questions.erase(it);
     m_silentUntil.erase(from);
-    answer({from, message.loan, message.tokens});
+    answer({from, message.loan, message.tokens, message.rest});
 }
 
-void TokenLending::giveBack(const Loan &loan)
+void TokenLending::giveBack(Loan &loan, Base::Tokens tokens)
 {
-    m_peers.send(loan.lender, Peer::LoanReturned{loan.number, loan.tokens});
+    loan.tokens -= tokens;
+    m_peers.send(loan.lender, Peer::LoanReturned{loan.number, ++loan.parts, tokens});
 }
 
 void TokenLending::onReturned(const Base::InstanceId &from, const Peer::LoanReturned &message)
 {
     const auto it = m_given.find({from, message.loan});
-    if (it == m_given.end())
+    // A part that a later one has overtaken is lost; its copy could not be told from it.
+    if (it == m_given.end() || message.part <= it->second.lastPart)
         return;
-    m_source.takeBack(it->second.team, std::min(message.tokens, it->second.tokens));
-    // The key stays, so that a late copy of the question finds the loan given.
-    it->second.tokens = Base::Tokens();
+    auto &given = it->second;
+    given.lastPart = message.part;
+    const auto tokens = std::min(message.tokens, given.tokens);
+    given.tokens -= tokens;
+    m_source.takeBack(given.team, tokens);
 }
 
 } // namespace Carawaykeel::Budget
--- a/Libraries/Carawaykeel/Budget/TokenLending.h
+++ b/Libraries/Carawaykeel/Budget/TokenLending.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -24,6 +25,9 @@
     virtual Base::Tokens lend(
         const Base::TeamId &team, Base::Tokens least, Base::Tokens wanted) = 0;
 
+    /// What the team has left in all; empty when that is not known here.
+    virtual std::optional<Base::Tokens> restOf(const Base::TeamId &team) const = 0;
+
     /// Tokens of a loan have come back.
     virtual void takeBack(const Base::TeamId &team, Base::Tokens tokens) = 0;
 
@@ -47,6 +51,10 @@
         Base::InstanceId lender;
         std::uint64_t number = 0;
         Base::Tokens tokens;
+        /// What the lender says that the team has left in all.
+        std::optional<Base::Tokens> rest = std::nullopt;
+        /// Parts that were given back.
+        std::uint32_t parts = 0;
     };
 
     TokenLending(Base::Scheduler &scheduler, Peer::PeerLink &peers, LoanSource &source);
@@ -58,8 +66,8 @@
     /// True while an instance is not worth asking, because it has just not answered.
     bool isSilent(const Base::InstanceId &lender) const;
 
-    /// Gives back what is left of a loan.
-    void giveBack(const Loan &loan);
+    /// Gives back a part of a loan.
+    void giveBack(Loan &loan, Base::Tokens tokens);
 
     void onBorrow(const Base::InstanceId &from, const Peer::BorrowTokens &message);
     void onLent(const Base::InstanceId &from, const Peer::TokensLent &message);
@@ -69,7 +77,9 @@
     struct Given
     {
         Base::TeamId team;
+        /// Not given back yet.
         Base::Tokens tokens;
+        std::uint32_t lastPart = 0;
     };
 
     Base::Scheduler &m_scheduler;
--- a/Libraries/Carawaykeel/Peer/PeerMessage.h
+++ b/Libraries/Carawaykeel/Peer/PeerMessage.h
@@ -5,7 +5,9 @@
 #include <Carawaykeel/Billing/Bill.h>
 #include <Carawaykeel/Forwarding/ServerEntry.h>
 
+#include <cereal/types/optional.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -206,24 +208,29 @@
     std::uint64_t loan = 0;
     Base::TeamId team;
     Base::Tokens tokens;
+    /// What the team has left in all, as the lender last read in the table. Empty when that was too
+    /// long ago.
+    std::optional<Base::Tokens> rest;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(loan, team, tokens);
+        archive(loan, team, tokens, rest);
     }
 };
 
-/// Gives back what was not spent of a loan. Counts once.
+/// Gives back what was not spent of a loan, in parts as the requests end that were to spend it.
 struct LoanReturned
 {
     std::uint64_t loan = 0;
+    /// Counts from 1; each part counts once.
+    std::uint32_t part = 0;
     Base::Tokens tokens;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(loan, tokens);
+        archive(loan, part, tokens);
     }
 };
 
--- a/Tests/Budget/AllotmentTest.cpp
+++ b/Tests/Budget/AllotmentTest.cpp
@@ -9,7 +9,11 @@
 namespace {
 
 constexpr int Instances = 8;
+/// Three times as many as hold allotments of one team.
+constexpr int MediumFleet = 24;
 constexpr int LargeFleet = 71;
+/// Transactions that one part of the platform's table takes in a second.
+constexpr std::uint64_t WritesPerSecond = 250;
 /// Shape of Lisovna Hub's mean team: a third of a day's tokens in each 13 s, in lumps.
 constexpr std::int64_t Prepaid = 1'060'000;
 constexpr std::int64_t TokensPerSecond = 26'500;
@@ -78,10 +82,10 @@
 }
 
 /// One step of trouble, of every kind that allotments must bear.
-void trouble(VirtualWorld &world, AllotmentFleet &fleet)
+void trouble(VirtualWorld &world, AllotmentFleet &fleet, int instances)
 {
-    const auto instance = static_cast<int>(world.draw(0, Instances - 1));
-    const auto other = static_cast<int>(world.draw(0, Instances - 1));
+    const auto instance = static_cast<int>(world.draw(0, instances - 1));
+    const auto other = static_cast<int>(world.draw(0, instances - 1));
     switch (world.draw(0, 9)) {
     case 0:
         if (fleet.isAlive(instance))
@@ -121,16 +125,16 @@
     }
 }
 
-void chaos(int seed, Mutation mutation)
+void chaos(int seed, Mutation mutation, int instances = Instances)
 {
-    Day day(seed);
+    Day day(seed, instances);
     day.fleet.table().mutation = mutation;
     day.fleet.network().loss = 0.03;
     day.fleet.network().doubling = 0.05;
     for (int step = 0; step < 60; ++step) {
         day.demand.run(
             Base::Milliseconds(day.world.draw(100, 1'500)), 4, [&] { checkBooks(day.fleet); });
-        trouble(day.world, day.fleet);
+        trouble(day.world, day.fleet, instances);
     }
 }
 
@@ -178,16 +182,21 @@
     CPPUNIT_TEST_SUITE(AllotmentTest);
     CPPUNIT_TEST(limitGrowsWithTheClockUpToTheWhole);
     CPPUNIT_TEST(nothingIsOverspentInAnyTrouble);
+    CPPUNIT_TEST(nothingIsOverspentInALargeFleet);
     CPPUNIT_TEST(booksWithoutConditionsAreNoticed);
+    CPPUNIT_TEST(booksWithoutConditionsAreNoticedInALargeFleet);
     CPPUNIT_TEST(deathInAnOutageOverspendsNothing);
     CPPUNIT_TEST(standingClockIsNoticed);
     CPPUNIT_TEST(lifeWithoutACommittedReportSpendsNothing);
     CPPUNIT_TEST(refusedReportLeavesAnEarlierOneOpen);
+    CPPUNIT_TEST(largeFleetReportsAndServes);
     CPPUNIT_TEST(outageForAllRefusesNothing);
     CPPUNIT_TEST(hotTeamIsServedThroughAnOutage);
     CPPUNIT_TEST(hotTeamIsServedLateInTheDay);
     CPPUNIT_TEST(emptyBudgetIsRefusedAtOnceInAnOutage);
     CPPUNIT_TEST(nearlyAllIsUsable);
+    CPPUNIT_TEST(nearlyAllIsUsableInALargeFleet);
+    CPPUNIT_TEST(outageRefusesNothingInALargeFleet);
     CPPUNIT_TEST(mostIsUsableAfterAllHaveDied);
     CPPUNIT_TEST(drainedInstanceLeavesNothingBehind);
     CPPUNIT_TEST(newInstanceBorrowsWhileTheTableIsAway);
@@ -215,6 +224,17 @@
         forEachSeed(40, [](int seed) { chaos(seed, Mutation::None); });
     }
 
+    void nothingIsOverspentInALargeFleet()
+    {
+        forEachSeed(10, [](int seed) { chaos(seed, Mutation::None, MediumFleet); });
+    }
+
+    void booksWithoutConditionsAreNoticedInALargeFleet()
+    {
+        expectSomeSeedFails(
+            10, [](int seed) { chaos(seed, Mutation::UnconditionalBooks, MediumFleet); });
+    }
+
     void booksWithoutConditionsAreNoticed()
     {
         expectSomeSeedFails(40, [](int seed) { chaos(seed, Mutation::UnconditionalBooks); });
@@ -254,6 +274,22 @@
         });
     }
 
+    /// Guards against reports of a large fleet that cross each other until most instances hold
+    /// nothing. Pattern: 71 instances start together, their team sends as usual.
+    void largeFleetReportsAndServes()
+    {
+        forEachSeed(2, [](int seed) {
+            Day day(seed, LargeFleet);
+            day.world.run(Base::Milliseconds(10'000));
+            const auto writes = day.fleet.table().writes;
+            day.demand.run(Base::Milliseconds(10'000), 1);
+            const auto perSecond = (day.fleet.table().writes - writes) / 10;
+            CPPUNIT_ASSERT_MESSAGE(
+                fmt::format("{} writes a second", perSecond), perSecond <= WritesPerSecond);
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(0), day.fleet.counts().refused());
+        });
+    }
+
     /// Pattern: all instances lose the table for nine seconds, twice, under the usual demand.
     void outageForAllRefusesNothing()
     {
@@ -334,6 +370,31 @@
         });
     }
 
+    /// The same in a large fleet, where most instances borrow. At most 3 in 100 may stay unusable.
+    void nearlyAllIsUsableInALargeFleet()
+    {
+        forEachSeed(4, [](int seed) {
+            Day day(seed, LargeFleet);
+            day.world.run(Base::Milliseconds(10'000));
+            day.demand.run(Base::Milliseconds(90'000), 1, [&] { checkBooks(day.fleet); });
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("used {}", day.fleet.used()),
+                day.fleet.used() * 100 >= day.fleet.prepaid() * 97);
+        });
+    }
+
+    /// Pattern: all instances of a large fleet lose the table for nine seconds.
+    void outageRefusesNothingInALargeFleet()
+    {
+        forEachSeed(4, [](int seed) {
+            Day day(seed, LargeFleet);
+            day.world.run(Base::Milliseconds(10'000));
+            day.demand.run(Base::Milliseconds(5'000), 1);
+            day.fleet.table().isDown = true;
+            day.demand.run(Base::Milliseconds(9'000), 1);
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(0), day.fleet.counts().refused());
+        });
+    }
+
     /// Pattern: all processes die at once after a third of a day, and start again within a second.
     void mostIsUsableAfterAllHaveDied()
     {
