--- a/Libraries/Carawaykeel/Budget/AllotmentReports.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentReports.cpp
@@ -42,7 +42,8 @@
 bool AllotmentHolder::isHolderOf(const Base::TeamId &team, const Account &account) const
 {
     const auto &allotments = account.row.allotments;
-    const bool isInRow = std::ranges::find(allotments, m_self, &Allotment::holder) != allotments.end();
+    const bool isInRow =
+        std::ranges::find(allotments, m_self, &Allotment::holder) != allotments.end();
     if (!isInRow && allotments.size() >= HoldersInRow * m_policy.holdersPerTeam)
         return false;
     const auto holders = holdersOf(team);
@@ -52,8 +53,8 @@
 bool AllotmentHolder::mustWrite(const Base::TeamId &team, const Account &account) const
 {
     const bool hasOpenCommit = account.unanswered || account.givenUp;
-    const bool hasEnded = std::ranges::any_of(
-        account.ended, [](const auto &life) { return !life.second.isClosed; });
+    const bool hasEnded =
+        std::ranges::any_of(account.ended, [](const auto &life) { return !life.second.isClosed; });
     // An allotment of this life or an earlier one.
     const bool isInRow = std::ranges::any_of(account.row.allotments,
         [this](const Allotment &each) { return each.holder.name == m_self.name; });
@@ -248,8 +249,8 @@
     const Base::TeamId &team, Account &account, AllotmentRow &next) const
 {
     // While a commit is open the next one is of its kind, so that the row tells whether it landed.
-    const bool holds = account.wasUnanswered ? !account.givenUp
-                                             : account.wantsTable || isHolderOf(team, account);
+    const bool holds =
+        account.wasUnanswered ? !account.givenUp : account.wantsTable || isHolderOf(team, account);
     if (holds)
         return false;
     if (!account.givenUp)
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -225,7 +225,14 @@
     near.keep = all.keep = m_settings.entryKeepTime;
     // One instance alone would leave its callers without another address when it fails.
     constexpr std::size_t FewestNear = 2;
-    return near.addresses.size() >= FewestNear ? near : all;
+    auto &answer = near.addresses.size() >= FewestNear ? near : all;
+    m_log.routine(LogEvent::EntryAnswered,
+        LogFields()
+            .add("data_centre", question.dataCentre.text())
+            .add("addresses", answer.addresses.size())
+            .add("serving", all.addresses.size())
+            .add("known", m_membership->knownInstances()));
+    return answer;
 }
 
 void Router::askForServers()
--- a/Libraries/Carawaykeel/Logging/LogEvent.h
+++ b/Libraries/Carawaykeel/Logging/LogEvent.h
@@ -13,6 +13,7 @@
     SettingsRefused,
     Request,
     AttemptFailed,
+    EntryAnswered,
     ConfigurationInForce,
     ConfigurationUnusable,
     ConfigurationReached,
