Budget: Let three instances hold a team's allotments in a large fleet

Cause: eight holders a team, each with three teams in one transaction, still cross each other: 160 conflicts a second are logged, as a report takes some 100 ms on 0.12 of a core. After a start of all, each instance knows no other and joins the holders of every team; the allotments of dead lives, which their successors close with the first commit, stay set aside.

Change: three holders a team beyond eight instances, so that a report writes about one row; a new life counts the holders that the rows name as instances; a borrower asks for up to four rounds, 80 ms apart.

--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.h
@@ -164,6 +164,7 @@
     bool everyoneHolds() const;
     bool isHolderOf(const Base::TeamId &team, const Account &account) const;
     std::vector<Base::InstanceId> holdersOf(const Base::TeamId &team) const;
+    void addHoldersInRows(std::vector<Base::InstanceId> &instances) const;
     void readRows(int triesLeft);
     void onRows(bool isReached, std::optional<Base::Milliseconds> serviceNow,
         const std::vector<Platform::Row> &rows, int triesLeft);
--- a/Libraries/Carawaykeel/Budget/AllotmentLoans.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentLoans.cpp
@@ -21,9 +21,9 @@
 /// table.
 constexpr std::size_t ToldOfEnd = 3;
 /// Times that all lenders are asked again before a request is refused that the team can pay for...
-constexpr int MoreRounds = 2;
+constexpr int MoreRounds = 3;
 /// ...and the pause before: a lender that is short takes more from the table meanwhile.
-constexpr Base::Milliseconds RoundPause{40};
+constexpr Base::Milliseconds RoundPause{80};
 /// Questions that come within this time share a report of a lender that is short.
 constexpr Base::Milliseconds AskedPause{10};
 
@@ -194,7 +194,7 @@
 
 bool AllotmentHolder::everyoneHolds() const
 {
-    return m_livePeers().size() < m_policy.holdersPerTeam;
+    return m_livePeers().size() < m_policy.smallFleet;
 }
 
 void AllotmentHolder::onLateLoan(const Base::InstanceId &lender, std::uint64_t loan,
--- a/Libraries/Carawaykeel/Budget/AllotmentPolicy.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentPolicy.h
@@ -22,9 +22,11 @@
     /// Free at once are one part in this many and what this long takes at the present use.
     std::int64_t openDivisor = 8;
     Base::Milliseconds openTime{1'000};
-    /// Instances that hold allotments of a team at a time; the others borrow from them. More would
-    /// cross each other's reports and divide what is left too finely.
-    std::size_t holdersPerTeam = 8;
+    /// Instances that hold allotments of a team at a time, in a fleet that is not small; the others
+    /// borrow from them. More would cross each other's reports.
+    std::size_t holdersPerTeam = 3;
+    /// In a fleet of so many instances all hold allotments of all teams.
+    std::size_t smallFleet = 8;
     /// An instance takes one part in this many of what no other has. The rest of the pool serves
     /// the instance that runs short; a greater part would lie with the wrong one.
     std::int64_t shareDivisor = 4;
--- a/Libraries/Carawaykeel/Budget/AllotmentReports.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentReports.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 #include <utility>
 
 namespace Carawaykeel::Budget {
@@ -15,9 +16,6 @@
 constexpr double MillisecondsPerSecond = 1'000;
 /// Rows are read one by one while fewer than one part in this many are wanted.
 constexpr std::size_t RangePart = 4;
-/// Only this many times the usual holders may be in a row; an instance that knows few others would
-/// join them all.
-constexpr std::size_t HoldersInRow = 2;
 
 Base::Tokens tokensFor(double perSecond, Base::Milliseconds time)
 {
@@ -36,7 +34,25 @@
 {
     auto instances = m_livePeers();
     instances.push_back(m_self);
-    return chooseHolders(team, std::move(instances), m_policy.holdersPerTeam);
+    // A new life has met few others; the rows name those that were there before it.
+    if (!m_hasClosedAll)
+        addHoldersInRows(instances);
+    const auto count =
+        instances.size() <= m_policy.smallFleet ? instances.size() : m_policy.holdersPerTeam;
+    return chooseHolders(team, std::move(instances), count);
+}
+
+void AllotmentHolder::addHoldersInRows(std::vector<Base::InstanceId> &instances) const
+{
+    std::set<Base::InstanceName> names;
+    for (const auto &instance : instances)
+        names.insert(instance.name);
+    for (const auto &[team, account] : m_accounts) {
+        for (const auto &allotment : account.row.allotments) {
+            if (names.insert(allotment.holder.name).second)
+                instances.push_back(allotment.holder);
+        }
+    }
 }
 
 bool AllotmentHolder::isHolderOf(const Base::TeamId &team, const Account &account) const
@@ -44,7 +60,8 @@
     const auto &allotments = account.row.allotments;
     const bool isInRow =
         std::ranges::find(allotments, m_self, &Allotment::holder) != allotments.end();
-    if (!isInRow && allotments.size() >= HoldersInRow * m_policy.holdersPerTeam)
+    // An instance that knows few others must not join the holders of all teams.
+    if (!isInRow && allotments.size() >= m_policy.smallFleet)
         return false;
     const auto holders = holdersOf(team);
     return std::ranges::find(holders, m_self) != holders.end();
