Budget: Keep returned tokens off limits while any return may land

The grant now remembers the version that an unanswered return expects, and its tokens stay off limits until the row has another version.

--- a/Libraries/Carawaykeel/Budget/GrantReturner.cpp
+++ b/Libraries/Carawaykeel/Budget/GrantReturner.cpp
@@ -70,6 +70,8 @@
     const auto read = Platform::decodeRow<GrantRow>(row->value);
     const bool hasLanded = !operation->mark.empty() && read.lastWrite == operation->mark;
     GrantBook::adoptRow(*grant, read, row->version);
+    if (grant->openReturn != row->version)
+        grant->openReturn.reset();
     if (hasLanded)
         settleReturn(*grant);
     if (hasLanded && !isCloseable(*grant))
@@ -102,6 +104,7 @@
     }
     transaction.put(
         BudgetRow::rowKey(grant.row.budget), Platform::encodeRow(books), budget.version);
+    grant.openReturn = grant.version;
     m_context.table.commit(
         std::move(transaction), [this, operation, isClosing, row](Platform::CommitReply reply) {
             auto *held = m_book.find(operation->id);
@@ -113,6 +116,7 @@
             }
             held->row = row;
             held->version = reply.version;
+            held->openReturn.reset();
             settleReturn(*held);
             finish(operation, true);
         });
@@ -135,8 +139,9 @@
 {
     if (auto *grant = m_book.find(operation->id)) {
         grant->isWriting = false;
-        // Where no write was sent nothing can have been returned.
-        if (!isDone && operation->mark.empty())
+        // Tokens of a write that may still land, of this operation or an earlier one, stay off
+        // limits.
+        if (!isDone && !grant->openReturn)
             grant->returning = Base::Tokens();
     }
     operation->answer(isDone);
--- a/Libraries/Carawaykeel/Budget/HeldGrant.h
+++ b/Libraries/Carawaykeel/Budget/HeldGrant.h
@@ -51,6 +51,8 @@
     Base::Tokens unflushed;
     /// Tokens that a write under way returns to the budget.
     Base::Tokens returning;
+    /// The version that a return without an answer expected; while the row has it, it may land.
+    std::optional<std::uint64_t> openReturn;
     /// Set while a write of the row is under way; there is never more than one.
     bool isWriting = false;
     Base::Milliseconds lastUsed;
