Budget: Leave less of the pool where only three instances take from it

Cause: a holder takes a quarter of what no other has. Eight holders leave a third of the pool that way, three leave half, and in an outage nobody can take it. Change: in a large fleet a holder takes a half, which leaves a quarter.

lateOutageIsBorneByALargeFleet failed (4 of 61 refused, a twentieth allowed) and passes. The largest team's refusals, two thirds of all, have another cause: all its requests come to one instance.

--- a/Libraries/Carawaykeel/Budget/AllotmentPolicy.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentPolicy.h
@@ -30,6 +30,8 @@
     /// An instance takes one part in this many of what no other has. The rest of the pool serves
     /// the instance that runs short; a greater part would lie with the wrong one.
     std::int64_t shareDivisor = 4;
+    /// In a large fleet only the holders take from the pool, so they leave less of it.
+    std::int64_t holderShareDivisor = 2;
     /// Weight of the latest interval in the rate of use.
     double rateWeight = 0.25;
     /// A table that was not reached is not waited for again within this time.
--- a/Libraries/Carawaykeel/Budget/AllotmentReports.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentReports.cpp
@@ -281,7 +281,8 @@
     auto needed = account.asked;
     for (const auto &waiting : account.waiting)
         needed += waiting.tokens;
-    const auto size = std::min(available, std::max(needed, available / m_policy.shareDivisor));
+    const auto divisor = everyoneHolds() ? m_policy.shareDivisor : m_policy.holderShareDivisor;
+    const auto size = std::min(available, std::max(needed, available / divisor));
     const auto free = needed + (size - needed) / m_policy.openDivisor
         + tokensFor(account.tokensPerSecond, m_policy.openTime);
     Allotment allotment;
--- a/Tests/Budget/AllotmentTest.cpp
+++ b/Tests/Budget/AllotmentTest.cpp
@@ -197,6 +197,7 @@
     CPPUNIT_TEST(nearlyAllIsUsable);
     CPPUNIT_TEST(nearlyAllIsUsableInALargeFleet);
     CPPUNIT_TEST(outageRefusesNothingInALargeFleet);
+    CPPUNIT_TEST(lateOutageIsBorneByALargeFleet);
     CPPUNIT_TEST(mostIsUsableAfterAllHaveDied);
     CPPUNIT_TEST(drainedInstanceLeavesNothingBehind);
     CPPUNIT_TEST(newInstanceBorrowsWhileTheTableIsAway);
@@ -395,6 +396,25 @@
         });
     }
 
+    /// Pattern: a third of the tokens is left, the table goes away for nine seconds for a large
+    /// fleet and the team sends as usual. A twentieth refused is the target.
+    void lateOutageIsBorneByALargeFleet()
+    {
+        forEachSeed(10, [](int seed) {
+            Day day(seed, LargeFleet);
+            day.world.run(Base::Milliseconds(10'000));
+            while (day.fleet.used() * 3 < day.fleet.prepaid() * 2)
+                day.demand.run(Base::Milliseconds(500), 1);
+            const auto before = day.fleet.counts();
+            day.fleet.table().isDown = true;
+            day.demand.run(Base::Milliseconds(9'000), 1);
+            const auto refused = day.fleet.counts().refused() - before.refused();
+            const auto granted = day.fleet.counts().granted - before.granted;
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("refused {} of {}", refused, refused + granted),
+                refused * 20 <= granted + refused);
+        });
+    }
+
     /// Pattern: all processes die at once after a third of a day, and start again within a second.
     void mostIsUsableAfterAllHaveDied()
     {
