--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.cpp
@@ -102,7 +102,8 @@
 
 void AllotmentHolder::refuse(Waiting &waiting, Account &account)
 {
-    const auto rest = m_isTableReached && account.isRead ? account.rest() : account.restTold;
+    const auto rest =
+        m_isTableReached && account.isRead ? std::optional(account.rest()) : account.restTold;
     const bool isCertain = rest && *rest < waiting.tokens;
     ++(isCertain ? m_counters.refusedExhausted : m_counters.refusedUnreachable);
     if (isCertain) {
@@ -122,7 +123,7 @@
         m_isTableReached);
 }
 
-std::optional<Base::Tokens> AllotmentHolder::Account::rest() const
+Base::Tokens AllotmentHolder::Account::rest() const
 {
     return std::max(prepaid - row.granted(), Base::Tokens()) + row.unspent();
 }
--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.h
@@ -44,8 +44,8 @@
     std::int64_t tokensWrittenOff = 0;
 };
 
-/// Holds this instance's allotments of all teams and reports their use. All reports and new
-/// allotments of an instance go in one transaction.
+/// Holds this instance's allotments and reports their use, all in one transaction. In a large fleet
+/// a few instances hold allotments of a team, and the others borrow from them.
 class AllotmentHolder : public TokenPurse, public LoanSource
 {
 public:
@@ -130,9 +130,6 @@
         int roundsLeft = 0;
         /// No holder answers, so the table itself is asked for what requests wait for.
         bool wantsTable = false;
-
-        /// What the team has left in all, by the row as it was last read.
-        std::optional<Base::Tokens> rest() const;
         std::deque<Waiting> waiting;
         /// Lives that are over and have told what they spent in all.
         std::map<Base::InstanceId, EndedLife> ended;
@@ -146,6 +143,9 @@
         std::vector<Base::InstanceId> lenders;
         double tokensPerSecond = 0;
         Base::Tokens spentAtLastReport;
+
+        /// What the team has left in all, by the row as it was last read.
+        Base::Tokens rest() const;
     };
     struct Closing
     {
@@ -214,7 +214,8 @@
     Base::Milliseconds m_measuredAt;
     Base::Milliseconds m_notBefore;
     std::size_t m_holdersSeen = 0;
-    /// All rows were read and written once, so no earlier life has an allotment anywhere.
+    /// Every row was read once and what an earlier life held was closed; from then on only the rows
+    /// that this instance has a part in are read.
     bool m_hasClosedAll = false;
     bool m_isReporting = false;
     bool m_isReportDue = false;
--- a/Tests/Budget/AllotmentTest.cpp
+++ b/Tests/Budget/AllotmentTest.cpp
@@ -161,6 +161,22 @@
     std::int64_t used;
 };
 
+/// The team sends until a third of its tokens is left, then the table goes away for a span. A
+/// twentieth refused is the target.
+void loseTheTableLateInTheDay(Day &day, Base::Milliseconds span, double times)
+{
+    day.world.run(Base::Milliseconds(10'000));
+    while (day.fleet.used() * 3 < day.fleet.prepaid() * 2)
+        day.demand.run(Base::Milliseconds(500), times);
+    const auto before = day.fleet.counts();
+    day.fleet.table().isDown = true;
+    day.demand.run(span, times);
+    const auto refused = day.fleet.counts().refused() - before.refused();
+    const auto granted = day.fleet.counts().granted - before.granted;
+    CPPUNIT_ASSERT_MESSAGE(fmt::format("refused {} of {}", refused, refused + granted),
+        refused * 20 <= granted + refused);
+}
+
 /// All processes die at once, are away for a while, and callers go on for a span.
 RestAfterDeath dieAndUseTheRest(Day &day, Base::Milliseconds away, Base::Milliseconds span)
 {
@@ -324,21 +340,12 @@
     }
 
     /// Pattern: a third of the tokens is left, one team sends 2.4 times its usual, and the table
-    /// goes away for four seconds. A twentieth refused is the target.
+    /// goes away for four seconds.
     void hotTeamIsServedLateInTheDay()
     {
         forEachSeed(10, [](int seed) {
             Day day(seed);
-            day.world.run(Base::Milliseconds(10'000));
-            while (day.fleet.used() * 3 < day.fleet.prepaid() * 2)
-                day.demand.run(Base::Milliseconds(500), 2.4);
-            const auto before = day.fleet.counts();
-            day.fleet.table().isDown = true;
-            day.demand.run(Base::Milliseconds(4'000), 2.4);
-            const auto refused = day.fleet.counts().refused() - before.refused();
-            const auto granted = day.fleet.counts().granted - before.granted;
-            CPPUNIT_ASSERT_MESSAGE(fmt::format("refused {} of {}", refused, refused + granted),
-                refused * 20 <= granted + refused);
+            loseTheTableLateInTheDay(day, Base::Milliseconds(4'000), 2.4);
         });
     }
 
@@ -397,21 +404,12 @@
     }
 
     /// Pattern: a third of the tokens is left, the table goes away for nine seconds for a large
-    /// fleet and the team sends as usual. A twentieth refused is the target.
+    /// fleet and the team sends as usual.
     void lateOutageIsBorneByALargeFleet()
     {
         forEachSeed(10, [](int seed) {
             Day day(seed, LargeFleet);
-            day.world.run(Base::Milliseconds(10'000));
-            while (day.fleet.used() * 3 < day.fleet.prepaid() * 2)
-                day.demand.run(Base::Milliseconds(500), 1);
-            const auto before = day.fleet.counts();
-            day.fleet.table().isDown = true;
-            day.demand.run(Base::Milliseconds(9'000), 1);
-            const auto refused = day.fleet.counts().refused() - before.refused();
-            const auto granted = day.fleet.counts().granted - before.granted;
-            CPPUNIT_ASSERT_MESSAGE(fmt::format("refused {} of {}", refused, refused + granted),
-                refused * 20 <= granted + refused);
+            loseTheTableLateInTheDay(day, Base::Milliseconds(9'000), 1);
         });
     }
 
