Budget: Find an own allotment and end a giving up in one place

The search for the own allotment in a row stood three times in the reports, and the end of a giving up twice: found by a commit's answer it also lowered the use at the last report, found by reading the row it did not, which let the next measured rate be too low. AllotmentRow::find and finishGivingUp serve all. No decision changes but for that rate.

--- a/Libraries/Carawaykeel/Budget/Allotment.cpp
+++ b/Libraries/Carawaykeel/Budget/Allotment.cpp
@@ -21,6 +21,12 @@
     return limit;
 }
 
+const Allotment *AllotmentRow::find(const Base::InstanceId &holder) const
+{
+    const auto it = std::ranges::find(allotments, holder, &Allotment::holder);
+    return it == allotments.end() ? nullptr : &*it;
+}
+
 Base::Tokens AllotmentRow::closeByEstimate(
     const Base::InstanceId &holder, Base::Milliseconds serviceNow)
 {
--- a/Libraries/Carawaykeel/Budget/Allotment.h
+++ b/Libraries/Carawaykeel/Budget/Allotment.h
@@ -69,6 +69,8 @@
     std::vector<Allotment> allotments;
     std::vector<EstimatedClosing> estimates;
 
+    /// A holder's allotment; null when it has none.
+    const Allotment *find(const Base::InstanceId &holder) const;
     /// Closes a dead holder's allotment at the most it can have spent by now. Answers that amount.
     Base::Tokens closeByEstimate(const Base::InstanceId &holder, Base::Milliseconds serviceNow);
     /// Closes the allotment of a holder that has said what it spent, or corrects its closing.
--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.h
@@ -171,6 +171,7 @@
     void adopt(const Base::TeamId &team, Account &account, const Platform::Row *row);
     void write(int triesLeft);
     AllotmentRow plan(const Base::TeamId &team, Account &account, Base::Milliseconds serviceNow);
+    static void finishGivingUp(Account &account);
     bool planGivingUp(const Base::TeamId &team, Account &account, AllotmentRow &next) const;
     void onLanded();
     void onNotLanded();
--- a/Libraries/Carawaykeel/Budget/AllotmentReports.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentReports.cpp
@@ -57,11 +57,8 @@
 
 bool AllotmentHolder::isHolderOf(const Base::TeamId &team, const Account &account) const
 {
-    const auto &allotments = account.row.allotments;
-    const bool isInRow =
-        std::ranges::find(allotments, m_self, &Allotment::holder) != allotments.end();
     // An instance that knows few others must not join the holders of all teams.
-    if (!isInRow && allotments.size() >= m_policy.smallFleet)
+    if (!account.row.find(m_self) && account.row.allotments.size() >= m_policy.smallFleet)
         return false;
     const auto holders = holdersOf(team);
     return std::ranges::find(holders, m_self) != holders.end();
@@ -175,21 +172,23 @@
     if (account.unanswered && *account.unanswered == account.version)
         return;
     account.unanswered.reset();
-    account.possible.clear();
-    for (const auto &allotment : account.row.allotments) {
-        if (allotment.holder == m_self)
-            account.possible.push_back(allotment);
-    }
-    const bool hasOwn = !account.possible.empty();
     // Without an allotment in the row nothing may be spent, whatever the next commit plans.
-    if (!hasOwn)
-        account.possible.emplace_back();
+    const auto *own = account.row.find(m_self);
+    account.possible = {own ? *own : Allotment()};
     // Only this life takes its allotment out of a row, so without one the commit has landed.
-    if (const auto givenUp = std::exchange(account.givenUp, std::nullopt); givenUp && !hasOwn)
-        account.spent -= *givenUp;
+    if (!own)
+        finishGivingUp(account);
+    account.givenUp.reset();
     checkCover(team, account);
 }
 
+void AllotmentHolder::finishGivingUp(Account &account)
+{
+    const auto counted = std::exchange(account.givenUp, std::nullopt).value_or(Base::Tokens());
+    account.spent -= counted;
+    account.spentAtLastReport -= counted;
+}
+
 void AllotmentHolder::checkCover(const Base::TeamId &team, const Account &account)
 {
     const auto whole = account.possible.back().whole();
@@ -216,9 +215,8 @@
         transaction.put(keyOf(team), Platform::encodeRow(row), account.version);
         account.unanswered = account.version;
         account.row = std::move(row);
-        const auto &allotments = account.row.allotments;
-        const auto own = std::ranges::find(allotments, m_self, &Allotment::holder);
-        account.possible.push_back(own == allotments.end() ? Allotment() : *own);
+        const auto *own = account.row.find(m_self);
+        account.possible.push_back(own ? *own : Allotment());
     }
     if (m_written.empty()) {
         m_hasClosedAll = true;
@@ -336,10 +334,7 @@
         account.unanswered.reset();
         account.possible.erase(account.possible.begin(), std::prev(account.possible.end()));
         account.asked = Base::Tokens();
-        if (const auto givenUp = std::exchange(account.givenUp, std::nullopt)) {
-            account.spent -= *givenUp;
-            account.spentAtLastReport -= *givenUp;
-        }
+        finishGivingUp(account);
         for (auto &[id, life] : account.ended)
             life.isClosed = life.isClosed || life.isPlanned;
     }
