Ingress: Give up an attempt in one place

Silence, an event without end and now a body without end each abandoned the connection and reported the attempt as failed. giveUpAttempt does both.

--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -123,8 +123,7 @@
             && self->m_context.retries.left(self->m_service, self->m_context.reactor.now()) > 0;
         if (!canGoOn)
             return self->watchSilence();
-        self->m_connection->abandon();
-        self->onAnswerFailed(Forwarding::AttemptEnd::Broken);
+        self->giveUpAttempt(Forwarding::AttemptEnd::Broken);
     });
 }
 
@@ -157,20 +156,16 @@
     }
     if (isStream() && isSuccess())
         return passEvents(bytes);
-    if (m_answer.body.size() + bytes.size() > MostAnswerBytes) {
-        m_connection->abandon();
-        return onAnswerFailed(Forwarding::AttemptEnd::Garbled);
-    }
+    if (m_answer.body.size() + bytes.size() > MostAnswerBytes)
+        return giveUpAttempt(Forwarding::AttemptEnd::Garbled);
     m_answer.body.append(bytes);
 }
 
 void Exchange::passEvents(std::string_view bytes)
 {
     std::string whole;
-    if (!m_events.feed(bytes, whole)) {
-        m_connection->abandon();
-        return onAnswerFailed(Forwarding::AttemptEnd::Garbled);
-    }
+    if (!m_events.feed(bytes, whole))
+        return giveUpAttempt(Forwarding::AttemptEnd::Garbled);
     if (whole.empty() || !m_caller)
         return;
     m_progress.onEvents(elapsed());
@@ -219,6 +214,12 @@
     finish(ServedOutcome);
 }
 
+void Exchange::giveUpAttempt(Forwarding::AttemptEnd end)
+{
+    m_connection->abandon();
+    onAnswerFailed(end);
+}
+
 void Exchange::onAnswerFailed(Forwarding::AttemptEnd end)
 {
     const auto self = shared_from_this();
--- a/Libraries/Carawaykeel/Ingress/Exchange.h
+++ b/Libraries/Carawaykeel/Ingress/Exchange.h
@@ -64,6 +64,7 @@
     void noteRead();
     void endAttempt(bool hasFailed);
     void abandonAttempt();
+    void giveUpAttempt(Forwarding::AttemptEnd end);
     void afterAttempt(Forwarding::AttemptEnd end);
     void passEvents(std::string_view bytes);
     void beginStream();
