--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.h
@@ -68,7 +68,7 @@
     /// What teams have paid for; from now on the others may use nothing.
     void setPrepaid(const std::vector<PrepaidTokens> &prepaid);
 
-    /// Instances that the table has named as holders, the most at any time.
+    /// The most instances that one row of the table has named as holders; all of a small fleet.
     std::size_t holdersSeen() const { return m_holdersSeen; }
 
     void hold(const Base::TeamId &team, Base::Tokens tokens,
--- a/Libraries/Carawaykeel/Forwarding/RetryWindow.h
+++ b/Libraries/Carawaykeel/Forwarding/RetryWindow.h
@@ -20,9 +20,9 @@
 };
 
 /// This instance's share of the fleet's repeats. The ratio counts own requests only and the slack
-/// is divided by the most instances that may run, so the shares never add up to more than the
-/// whole. A new life takes none of the slack for one window: its predecessor may have used that
-/// share, and it has not met all others yet.
+/// is divided by the instances that are known, so the shares add up to no more than the whole
+/// once all know all. A new life takes none of the slack for one window: its predecessor may have
+/// used that share, and it has not met all others yet.
 class RetryWindow
 {
 public:
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -250,7 +250,7 @@
     for (const auto &server : m_servers.servers())
         addresses.push_back(server.entry.address);
     m_connections.tidy(addresses);
-    // An instance that is cut off from the others still reads of them in the table.
+    // An instance that is cut off from the others still reads of some of them in the table.
     m_retries.setInstances(
         static_cast<int>(std::max(m_membership->knownInstances(), m_allotments.holdersSeen())));
     askForServers();
--- a/Libraries/Carawaykeel/Peer/PeerMessage.h
+++ b/Libraries/Carawaykeel/Peer/PeerMessage.h
@@ -208,8 +208,8 @@
     std::uint64_t loan = 0;
     Base::TeamId team;
     Base::Tokens tokens;
-    /// What the team has left in all, as the lender last read in the table. Empty when that was too
-    /// long ago.
+    /// What the team has left in all, as the lender last read in the table. Empty while the lender
+    /// does not reach the table, or does not read the team's row.
     std::optional<Base::Tokens> rest;
 
     template <class Archive>
