--- a/Tests/Ingress/ConfigurationRelayTest.cpp
+++ b/Tests/Ingress/ConfigurationRelayTest.cpp
@@ -37,8 +37,7 @@
     {
         m_scheduler.schedule(Base::Milliseconds(), [callback] { callback({}); });
     }
-    void commit(
-        Platform::Transaction, std::function<void(Platform::CommitReply)> callback) override
+    void commit(Platform::Transaction, std::function<void(Platform::CommitReply)> callback) override
     {
         m_scheduler.schedule(Base::Milliseconds(), [callback] { callback({}); });
     }
@@ -88,8 +87,7 @@
         Membership::Member self;
         self.gossipAddress = m_settings.gossipAddress;
         self.peerAddress = m_settings.peerAddress;
-        return std::make_unique<NeighbourInstance>(
-            fmt::format("neighbour-{}", n), PeerKey, self);
+        return std::make_unique<NeighbourInstance>(fmt::format("neighbour-{}", n), PeerKey, self);
     }
 
 private:
