--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -119,6 +119,11 @@
         if (version > m_configurationSubscriber.version()) {
             m_peerTransport.send(
                 from, Peer::FetchConfiguration{m_configurationSubscriber.version()});
+            m_log.info(LogEvent::ConfigurationRequested,
+                LogFields()
+                    .add("from", from.name.text())
+                    .add("announced", version)
+                    .add("version", m_configurationSubscriber.version()));
         }
     };
     events.onServerLeaving = [this](const Base::ServerName &serverIncarnation) {
@@ -172,6 +177,11 @@
             m_peerTransport.send(from,
                 Peer::DeliverConfiguration{
                     m_configurationSubscriber.version(), m_configurationSubscriber.document()});
+            m_log.info(LogEvent::ConfigurationSent,
+                LogFields()
+                    .add("to", from.name.text())
+                    .add("version", m_configurationSubscriber.version())
+                    .add("bytes", m_configurationSubscriber.document().size()));
         }
         return;
     }
--- a/Libraries/Carawaykeel/Logging/LogEvent.cpp
+++ b/Libraries/Carawaykeel/Logging/LogEvent.cpp
@@ -29,6 +29,10 @@
         return "configuration_reached";
     case LogEvent::ConfigurationLost:
         return "configuration_lost";
+    case LogEvent::ConfigurationRequested:
+        return "configuration_requested";
+    case LogEvent::ConfigurationSent:
+        return "configuration_sent";
     case LogEvent::ServerAnnounced:
         return "server_announced";
     case LogEvent::ServerEntryUnusable:
--- a/Libraries/Carawaykeel/Logging/LogEvent.h
+++ b/Libraries/Carawaykeel/Logging/LogEvent.h
@@ -18,6 +18,8 @@
     ConfigurationUnusable,
     ConfigurationReached,
     ConfigurationLost,
+    ConfigurationRequested,
+    ConfigurationSent,
     ServerAnnounced,
     ServerEntryUnusable,
     ServerEntryRemoved,
