Ingress: Fetch a configuration once, however often it is announced

Callers of a fleet of 60 VMs got 404 for routes that had been acknowledged for over 3 s; VMs that reported ready took no connections for up to 7 s.

Cause: every datagram carries its sender's configuration version, and a router with an older version, or none yet, asked for the document for each of them. Each request was answered with the whole document, authenticated on the reactor, and decoded by the receiver's reactor even if the version was in force. The answers delayed the version, so more were asked for: with 292 KB the storm did not end. A retry storm whose size grows with fleet times datagrams.

Copies of what is in force are not decoded.

ConfigurationFetchTest::announcementsOfOneVersionCauseOneFetch failed before, with 100 requests for 100 datagrams.

--- a/Libraries/Carawaykeel/Ingress/ConfigurationSubscriber.cpp
+++ b/Libraries/Carawaykeel/Ingress/ConfigurationSubscriber.cpp
@@ -39,8 +39,18 @@
 
 void ConfigurationSubscriber::onReachabilityChanged(bool isReachable)
 {
-    m_log.info(isReachable ? LogEvent::ConfigurationReached : LogEvent::ConfigurationLost,
-        LogFields().add("version", m_version));
+    m_scheduler.schedule(Base::Milliseconds(), [this, isReachable] {
+        m_isConnected = isReachable;
+        m_log.info(isReachable ? LogEvent::ConfigurationReached : LogEvent::ConfigurationLost,
+            LogFields().add("version", m_version));
+    });
+}
+
+void ConfigurationSubscriber::onReceivedFromPeer(std::uint64_t version, const std::string &document)
+{
+    // Decoding a large document takes so long that copies of the active one must not be decoded.
+    if (version > m_version)
+        decode(document);
 }
 
 void ConfigurationSubscriber::decode(const std::string &document)
--- a/Libraries/Carawaykeel/Ingress/ConfigurationSubscriber.h
+++ b/Libraries/Carawaykeel/Ingress/ConfigurationSubscriber.h
@@ -29,8 +29,11 @@
     void onChanges(const std::vector<Platform::RowChange> &changes) override;
     void onReachabilityChanged(bool isReachable) override;
 
-    /// Call with the configuration document of another instance.
-    void onReceivedFromPeer(const std::string &document) { decode(document); }
+    /// Call with the configuration of another instance, on the scheduler's thread.
+    void onReceivedFromPeer(std::uint64_t version, const std::string &document);
+
+    /// Returns true while the table service's changes arrive. Call on the scheduler's thread.
+    bool isConnected() const { return m_isConnected; }
 
     /// The active document; empty before the first. Call on the scheduler's thread.
     const std::string &document() const { return m_document; }
@@ -44,6 +47,7 @@
     const Decoder m_decoder;
     const std::function<void(Pointer)> m_onNewer;
     const Logging::Logger &m_log;
+    bool m_isConnected = false;
     std::uint64_t m_version = 0;
     std::string m_document;
 };
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -87,6 +87,7 @@
     , m_configurationSubscriber(
           m_dependencies.configurationKey, reactor, m_dependencies.configurationDecoder,
           [this](const auto &configuration) { onConfiguration(configuration); }, m_log)
+    , m_configurationRelay(reactor, m_peerTransport)
     , m_gossipTransport(m_settings.gossipAddress, m_codec, reactor,
           [this](const Membership::GossipMessage &message) { m_membership->onMessage(message); })
     , m_forwardHandler(m_context)
@@ -116,14 +117,15 @@
 {
     Membership::MembershipEvents events;
     events.onConfigurationVersion = [this](const Base::InstanceId &from, std::uint64_t version) {
-        if (version > m_configurationSubscriber.version()) {
-            m_peerTransport.send(
-                from, Peer::FetchConfiguration{m_configurationSubscriber.version()});
+        const Configuration::LocalConfiguration local{
+            m_configurationSubscriber.version(), m_configurationSubscriber.isConnected()};
+        if (m_configurationRelay.onVersionAnnounced(from, version, local)) {
             m_log.info(LogEvent::ConfigurationRequested,
                 LogFields()
                     .add("from", from.name.text())
                     .add("announced", version)
-                    .add("version", m_configurationSubscriber.version()));
+                    .add("version", local.version)
+                    .add("connected", local.hasDirectSource));
         }
     };
     events.onServerLeaving = [this](const Base::ServerName &serverIncarnation) {
@@ -161,7 +163,7 @@
     if (const auto *transfer = std::get_if<Peer::TransferTokens>(&envelope.message))
         return m_allotments.onTokensTransferred(from, *transfer);
     if (const auto *delivery = std::get_if<Peer::DeliverConfiguration>(&envelope.message))
-        return m_configurationSubscriber.onReceivedFromPeer(delivery->document);
+        return m_configurationSubscriber.onReceivedFromPeer(delivery->version, delivery->document);
     if (const auto *delivery = std::get_if<Peer::DeliverServers>(&envelope.message))
         return m_serverListSubscriber.onReceivedFromPeer(delivery->servers);
     if (std::holds_alternative<Peer::FetchServers>(envelope.message)) {
@@ -172,19 +174,20 @@
             m_peerTransport.send(from, std::move(delivery));
         return;
     }
-    if (std::holds_alternative<Peer::FetchConfiguration>(envelope.message)) {
-        if (m_configurationSubscriber.version() > 0) {
-            m_peerTransport.send(from,
-                Peer::DeliverConfiguration{
-                    m_configurationSubscriber.version(), m_configurationSubscriber.document()});
-            m_log.info(LogEvent::ConfigurationSent,
-                LogFields()
-                    .add("to", from.name.text())
-                    .add("version", m_configurationSubscriber.version())
-                    .add("bytes", m_configurationSubscriber.document().size()));
-        }
+    if (const auto *request = std::get_if<Peer::FetchConfiguration>(&envelope.message)) {
+        const auto version = m_configurationSubscriber.version();
+        const auto &document = m_configurationSubscriber.document();
+        const bool isSent = m_configurationRelay.onFetchRequest(from, *request, version, document);
+        m_log.info(isSent ? LogEvent::ConfigurationSent : LogEvent::ConfigurationNotSent,
+            LogFields()
+                .add("to", from.name.text())
+                .add("their_version", request->version)
+                .add("version", version)
+                .add("bytes", document.size()));
         return;
     }
+    if (std::holds_alternative<Peer::OfferConfiguration>(envelope.message))
+        return m_configurationRelay.onFetchRefused(from);
     m_log.warn(LogEvent::PeerMessageUnexpected,
         LogFields().add("from", from.name.text()).add("kind", envelope.message.index()));
 }
--- a/Libraries/Carawaykeel/Ingress/Router.h
+++ b/Libraries/Carawaykeel/Ingress/Router.h
@@ -3,6 +3,7 @@
 #include <Carawaykeel/Adapters/TcpPeerTransport.h>
 #include <Carawaykeel/Adapters/UdpGossipTransport.h>
 #include <Carawaykeel/Budget/AllotmentHolder.h>
+#include <Carawaykeel/Configuration/ConfigurationRelay.h>
 #include <Carawaykeel/Ingress/AllotmentLogger.h>
 #include <Carawaykeel/Ingress/CallerListener.h>
 #include <Carawaykeel/Ingress/ConfigurationSubscriber.h>
@@ -89,6 +90,7 @@
     ExchangeContext m_context;
     ServerListSubscriber m_serverListSubscriber;
     ConfigurationSubscriber m_configurationSubscriber;
+    Configuration::ConfigurationRelay m_configurationRelay;
     std::unique_ptr<Membership::Membership> m_membership;
     Adapters::UdpGossipTransport m_gossipTransport;
     ForwardHandler m_forwardHandler;
--- a/Libraries/Carawaykeel/Logging/LogEvent.cpp
+++ b/Libraries/Carawaykeel/Logging/LogEvent.cpp
@@ -33,6 +33,8 @@
         return "configuration_requested";
     case LogEvent::ConfigurationSent:
         return "configuration_sent";
+    case LogEvent::ConfigurationNotSent:
+        return "configuration_not_sent";
     case LogEvent::ServerAnnounced:
         return "server_announced";
     case LogEvent::ServerEntryUnusable:
--- a/Libraries/Carawaykeel/Logging/LogEvent.h
+++ b/Libraries/Carawaykeel/Logging/LogEvent.h
@@ -20,6 +20,7 @@
     ConfigurationLost,
     ConfigurationRequested,
     ConfigurationSent,
+    ConfigurationNotSent,
     ServerAnnounced,
     ServerEntryUnusable,
     ServerEntryRemoved,
--- a/Tests/Configuration/ConfigurationReplicaTest.cpp
+++ b/Tests/Configuration/ConfigurationReplicaTest.cpp
@@ -1,30 +1,14 @@
 #include <Carawaykeel/Configuration/ConfigurationReplica.h>
 
 #include <Support/FakeTable.h>
+#include <Support/RecordingTransport.h>
 #include <Support/WorldScheduler.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/core.h>
-#include <vector>
 
 namespace Carawaykeel::Tests {
 
-namespace {
-
-/// Records the messages that are sent to other instances.
-class RecordingTransport : public Peer::PeerTransport
-{
-public:
-    void send(const Base::InstanceId &, Peer::PeerMessage message) override
-    {
-        messages.push_back(std::move(message));
-    }
-
-    std::vector<Peer::PeerMessage> messages;
-};
-
-} // namespace
-
 /// How instances of the product's own interface pass configurations to each other.
 class ConfigurationReplicaTest : public CppUnit::TestFixture
 {
--- a/Tests/Ingress/ConfigurationRelayTest.cpp
+++ b/Tests/Ingress/ConfigurationFetchTest.cpp
@@ -103,9 +103,9 @@
 } // namespace
 
 /// How instances of the router's fleet pass configurations to each other.
-class ConfigurationRelayTest : public CppUnit::TestFixture
+class ConfigurationFetchTest : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(ConfigurationRelayTest);
+    CPPUNIT_TEST_SUITE(ConfigurationFetchTest);
     CPPUNIT_TEST(announcementsOfOneVersionCauseOneFetch);
     CPPUNIT_TEST_SUITE_END();
 
@@ -117,8 +117,9 @@
     {
         constexpr int NeighbourCount = 4;
         constexpr int DatagramsPerNeighbour = 25;
-        const IsolatedRouter router;
         std::vector<std::unique_ptr<NeighbourInstance>> neighbours;
+        // Destroyed first: it sends to the neighbours until then.
+        const IsolatedRouter router;
         for (int n = 0; n < NeighbourCount; ++n)
             neighbours.push_back(router.makeNeighbour(n));
         for (int n = 0; n < DatagramsPerNeighbour; ++n) {
@@ -133,6 +134,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationRelayTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationFetchTest);
 
 } // namespace Carawaykeel::Tests
