Configuration: Fetch a document once in the product's own interface too

A refused request and an offer are the same message, so an offer also lets the replica ask another instance.

--- a/Libraries/Carawaykeel/Configuration/ConfigurationReplica.cpp
+++ b/Libraries/Carawaykeel/Configuration/ConfigurationReplica.cpp
@@ -27,6 +27,7 @@
     Base::Milliseconds readInterval,
     std::function<void(std::uint64_t, const Declaration &)> onActivated)
     : m_context(context)
+    , m_relay(context.scheduler, context.peers)
     , m_readInterval(readInterval)
     , m_onActivated(std::move(onActivated))
 {
@@ -142,18 +143,23 @@
 
 void ConfigurationReplica::onVersionAnnounced(const Base::InstanceId &from, std::uint64_t version)
 {
-    if (version > m_version) {
-        m_context.peers.send(from, Peer::FetchConfiguration{m_version});
-    } else if (version < m_version) {
-        m_context.peers.send(from, Peer::OfferConfiguration{m_version});
-    }
+    // The row is read at intervals, so another instance's document usually comes sooner.
+    m_relay.onVersionAnnounced(from, version, {m_version, false});
+    if (version < m_version)
+        m_relay.offer(from, m_version);
+}
+
+void ConfigurationReplica::onOffer(
+    const Base::InstanceId &from, const Peer::OfferConfiguration &message)
+{
+    m_relay.onFetchRefused(from);
+    onVersionAnnounced(from, message.version);
 }
 
 void ConfigurationReplica::onFetchRequest(
     const Base::InstanceId &from, const Peer::FetchConfiguration &message)
 {
-    if (m_version > message.version)
-        m_context.peers.send(from, Peer::DeliverConfiguration{m_version, m_document});
+    m_relay.onFetchRequest(from, message, m_version, m_document);
 }
 
 void ConfigurationReplica::onDelivery(const Peer::DeliverConfiguration &message)
--- a/Libraries/Carawaykeel/Configuration/ConfigurationReplica.h
+++ b/Libraries/Carawaykeel/Configuration/ConfigurationReplica.h
@@ -2,6 +2,7 @@
 
 #include <Carawaykeel/Base/InstanceContext.h>
 #include <Carawaykeel/Base/Result.h>
+#include <Carawaykeel/Configuration/ConfigurationRelay.h>
 #include <Carawaykeel/Configuration/ConfigurationRow.h>
 #include <Carawaykeel/Configuration/Declaration.h>
 
@@ -40,6 +41,7 @@
     /// Handles the version that a peer announced: fetches the peer's configuration if it is newer,
     /// and offers this instance's configuration if the peer's is older.
     void onVersionAnnounced(const Base::InstanceId &from, std::uint64_t version);
+    void onOffer(const Base::InstanceId &from, const Peer::OfferConfiguration &message);
     void onFetchRequest(const Base::InstanceId &from, const Peer::FetchConfiguration &message);
     void onDelivery(const Peer::DeliverConfiguration &message);
 
@@ -71,6 +73,7 @@
     void retryLater(const PendingChangePointer &change);
 
     Base::InstanceContext &m_context;
+    ConfigurationRelay m_relay;
     const Base::Milliseconds m_readInterval;
     std::function<void(std::uint64_t, const Declaration &)> m_onActivated;
     std::uint64_t m_version = 0;
--- a/Libraries/Carawaykeel/Instance/Instance.cpp
+++ b/Libraries/Carawaykeel/Instance/Instance.cpp
@@ -63,7 +63,7 @@
     }
     void operator()(const Peer::OfferConfiguration &message)
     {
-        m_instance.configuration().onVersionAnnounced(m_from, message.version);
+        m_instance.configuration().onOffer(m_from, message);
     }
     void operator()(const Peer::FetchConfiguration &message)
     {
