--- a/Benchmarks/Capacity/main.cpp
+++ b/Benchmarks/Capacity/main.cpp
@@ -6,6 +6,7 @@
 #include <Carawaykeel/Platform/RowCodec.h>
 #include <Carawaykeel/Requests/RequestRegistry.h>
 #include <Carawaykeel/Routing/ServerSelection.h>
+#include <Support/RelayFleet.h>
 #include <Support/VirtualFleet.h>
 
 #include <CLI/CLI.hpp>
@@ -95,6 +96,31 @@
         partitionTraffic.bytesPerSecond, recoveryTime / 1'000);
 }
 
+/// Measures how a new configuration spreads when one instance has it and no other reaches the table
+/// service, and what an announcement costs once all have it.
+void measureRelay()
+{
+    constexpr std::size_t DocumentBytes = 420'000;
+    constexpr int Announcements = 2'000;
+    fmt::print("\n## A document of 420 KB from one instance to all, links of 10 Mbit/s\n\n"
+               "| instances | ms until all have it | documents sent | us for an announcement | "
+               "bytes of state |\n|---|---|---|---|---|\n");
+    for (const std::size_t size : {8, 60, 410}) {
+        Tests::RelayFleet fleet(size, DocumentBytes);
+        fleet.setVersion(0, 1);
+        const auto duration = fleet.runUntilAllHave(1);
+        const auto documentsSent = fleet.documentsSent();
+        const auto start = std::chrono::steady_clock::now();
+        for (int n = 0; n < Announcements; ++n)
+            fleet.announceAll();
+        const std::chrono::duration<double, std::micro> elapsed =
+            std::chrono::steady_clock::now() - start;
+        fmt::print("| {} | {} | {} | {:.3f} | {} |\n", size, duration.count(), documentsSent,
+            elapsed.count() / (Announcements * static_cast<double>(size)),
+            sizeof(Configuration::ConfigurationRelay));
+    }
+}
+
 /// Measures the time of a call in microseconds and as a multiple of a reference loop in the same
 /// run.
 class CallTimer
@@ -346,7 +372,7 @@
     CLI::App app("capacity-benchmark: measures the figures of docs/CAPACITY.md");
     std::string part = "all";
     app.add_option("part", part,
-        "Part to run: gossip, convergence, storms, processor, memory, platform or all");
+        "Part to run: gossip, convergence, storms, relay, processor, memory, platform or all");
     CLI11_PARSE(app, argc, argv);
     const auto isSelected = [&](const std::string &name) { return part == "all" || part == name; };
     if (isSelected("gossip"))
@@ -355,6 +381,8 @@
         measureConvergence();
     if (isSelected("storms"))
         measureStorms();
+    if (isSelected("relay"))
+        measureRelay();
     if (isSelected("processor"))
         measureProcessorTime();
     if (isSelected("memory"))
