--- a/Tests/Support/ScriptedServer.cpp
+++ b/Tests/Support/ScriptedServer.cpp
@@ -46,6 +46,7 @@
 ScriptedServer::ScriptedServer(Script script)
     : m_script(std::move(script))
     , m_socket(Poco::Net::SocketAddress("127.0.0.1", 0))
+    , m_address(m_socket.address().toString())
     , m_thread([this] { accept(); })
 {
 }
@@ -66,12 +67,14 @@
 
 void ScriptedServer::accept()
 {
-    while (!m_isStopping) {
+    while (!m_isStopping && !m_isCrashing) {
         if (m_socket.poll(PollInterval, Poco::Net::Socket::SELECT_READ)) {
             m_connectionThreads.emplace_back(
                 [this, connection = m_socket.acceptConnection()] { serve(connection); });
         }
     }
+    m_socket.close();
+    m_hasCrashed = m_isCrashing.load();
 }
 
 bool ScriptedServer::receive(
@@ -112,6 +115,12 @@
                 connection.sendBytes(
                     response.bytes.data(), static_cast<int>(response.bytes.size()));
             }
+            if (response.then == ScriptedResponse::Then::Crash) {
+                m_isCrashing = true;
+                while (!m_hasCrashed && !m_isStopping)
+                    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+                connection.setLinger(true, 0);
+            }
             if (response.then == ScriptedResponse::Then::Reset)
                 connection.setLinger(true, 0);
             if (response.then == ScriptedResponse::Then::Hang) {
--- a/Tests/Support/ScriptedServer.h
+++ b/Tests/Support/ScriptedServer.h
@@ -33,6 +33,8 @@
         Hang,
         /// Sends `floodBytes` repeatedly until the peer closes the connection.
         Flood,
+        /// Stops listening, then resets the connection. Later connections are refused.
+        Crash,
     };
 
     std::string bytes;
@@ -50,7 +52,8 @@
     explicit ScriptedServer(Script script);
     ~ScriptedServer();
 
-    std::string address() const { return m_socket.address().toString(); }
+    std::string address() const { return m_address; }
+    bool hasCrashed() const { return m_hasCrashed; }
     std::vector<ReceivedRequest> requests() const;
     /// Returns the number of connections that the peer closed during Then::Hang, or that failed.
     int peerCloseCount() const { return m_peerCloseCount; }
@@ -62,11 +65,15 @@
 
     const Script m_script;
     Poco::Net::ServerSocket m_socket;
+    const std::string m_address;
     mutable std::mutex m_mutex;
     std::vector<ReceivedRequest> m_requests;
     std::vector<std::thread> m_connectionThreads;
     std::atomic<int> m_peerCloseCount = 0;
     std::atomic<bool> m_isStopping = false;
+    std::atomic<bool> m_isCrashing = false;
+    /// The socket is closed.
+    std::atomic<bool> m_hasCrashed = false;
     std::thread m_thread;
 };
 
