Ingress: Quarantine prompt parts that crash servers

Cause: a lost connection counted against the server only. Nothing related crashes of different servers to what the requests had in common, so each new request, and each retry of it, found another server. A poison message without a dead-letter rule.

Change: Forwarding/PromptQuarantine counts, for each shared prompt part, crashes of different servers that had not responded to a request with it. Three without a response quarantine it on all instances, which share what they see by datagrams; requests with it are rejected as not run. A response clears a part, and an instance that sees one contradicts the others. A crash is told from a lost connection by the refusal of the next one, so that partitions, resets and silent servers blame no prompt.

--- a/Libraries/Carawaykeel/Base/ErrorKind.h
+++ b/Libraries/Carawaykeel/Base/ErrorKind.h
@@ -24,6 +24,7 @@
     QueueFull,
     QueueTimeout,
     NoServerAvailable,
+    PromptQuarantined,
     ServerRefused,
     ServerFailed,
     ServerTimeout,
--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -75,6 +75,12 @@
 {
     if (m_sentAttempts == 0)
         m_progress.timeToFirstAttempt = elapsed();
+    if (!m_hasStreamStarted && m_context.promptGuard.isQuarantined(m_requestMetadata.promptParts)) {
+        auto failure = quarantineFailure();
+        if (m_mayHaveRun)
+            failure.kind = Base::ErrorKind::ServerFailed;
+        return fail(failure);
+    }
     while (!m_isFinished) {
         const auto now = m_context.reactor.now();
         const auto *server = m_context.serverPool.selectServer(
@@ -175,7 +181,10 @@
     std::string completeEvents;
     if (!m_events.feed(bytes, completeEvents))
         return failAttempt(Forwarding::AttemptOutcome::InvalidResponse);
-    if (completeEvents.empty() || !m_responseWriter)
+    if (completeEvents.empty())
+        return;
+    markResponded();
+    if (!m_responseWriter)
         return;
     m_progress.onEvents(elapsed());
     beginStream();
@@ -212,6 +221,7 @@
         endAttempt(true);
         return handleAttemptOutcome(Forwarding::AttemptOutcome::InvalidResponse);
     }
+    markResponded();
     endAttempt(false);
     if (!isStream())
         return forwardResponse();
@@ -240,10 +250,20 @@
         --m_sentAttempts;
     }
     m_events.discardPartialEvent();
+    if (outcome == Forwarding::AttemptOutcome::ConnectionLost && !m_response.hasContent) {
+        if (const auto *server = m_context.serverPool.findEntry(m_server))
+            m_context.promptGuard.onConnectionLost(*server, m_requestMetadata.promptParts);
+    }
     endAttempt(true);
     handleAttemptOutcome(outcome);
 }
 
+void Exchange::markResponded()
+{
+    if (!std::exchange(m_response.hasContent, true))
+        m_context.promptGuard.onResponded(m_requestMetadata.promptParts);
+}
+
 void Exchange::markPromptProcessed()
 {
     if (m_unprocessedTokens == Base::Tokens())
--- a/Libraries/Carawaykeel/Ingress/Exchange.h
+++ b/Libraries/Carawaykeel/Ingress/Exchange.h
@@ -51,9 +51,12 @@
         std::unique_ptr<Poco::Net::HTTPResponse> head;
         Forwarding::ResponseMetadata metadata;
         std::string body;
+        /// The server has sent a complete event or response, so the prompt did not crash it.
+        bool hasContent = false;
     };
 
     Base::Result<void> tryAdmit();
+    static Base::Failure quarantineFailure();
     bool isStream() const { return m_route.kind == Forwarding::RouteKind::Stream; }
     bool isSuccess() const;
     void holdTokens();
@@ -62,6 +65,7 @@
     void startTimeout();
     void startInactivityTimer();
     void onTimeout();
+    void markResponded();
     void markPromptProcessed();
     void endAttempt(bool hasFailed);
     void cancelAttempt();
--- a/Libraries/Carawaykeel/Ingress/ExchangeAdmission.cpp
+++ b/Libraries/Carawaykeel/Ingress/ExchangeAdmission.cpp
@@ -15,9 +15,17 @@
 constexpr Base::Milliseconds ShutdownRetryAfter{50};
 /// Retry-After of requests whose team's tokens are unreachable.
 constexpr Base::Milliseconds BudgetRetryAfter{400};
+/// Retry-After of requests whose prompt crashes servers; only another prompt helps sooner.
+constexpr Base::Milliseconds QuarantineRetryAfter{60'000};
 
 } // namespace
 
+Base::Failure Exchange::quarantineFailure()
+{
+    return {Base::ErrorKind::PromptQuarantined, "servers crash on a part of the prompt",
+        QuarantineRetryAfter};
+}
+
 Base::Result<void> Exchange::tryAdmit()
 {
     BOOST_LEAF_ASSIGN(m_requestMetadata, m_context.dialect.tryReadRequest(*m_head));
@@ -38,6 +46,8 @@
         return boost::leaf::new_error(Base::Failure{
             Base::ErrorKind::ShuttingDown, "this instance shuts down", ShutdownRetryAfter});
     }
+    if (m_context.promptGuard.isQuarantined(m_requestMetadata.promptParts))
+        return boost::leaf::new_error(quarantineFailure());
     std::vector<int> weights;
     for (const auto &weightedService : m_route.services)
         weights.push_back(weightedService.weight);
--- a/Libraries/Carawaykeel/Ingress/ExchangeContext.h
+++ b/Libraries/Carawaykeel/Ingress/ExchangeContext.h
@@ -7,6 +7,7 @@
 #include <Carawaykeel/Forwarding/RouterConfiguration.h>
 #include <Carawaykeel/Forwarding/ServerPool.h>
 #include <Carawaykeel/Ingress/BacklogBroadcaster.h>
+#include <Carawaykeel/Ingress/PromptGuard.h>
 #include <Carawaykeel/Ingress/RouterMetrics.h>
 #include <Carawaykeel/Ingress/ServerConnectionPool.h>
 #include <Carawaykeel/Logging/Logger.h>
@@ -24,6 +25,7 @@
     Forwarding::ServerPool &serverPool;
     Forwarding::RetryBudget &retryBudget;
     BacklogBroadcaster &backlogBroadcaster;
+    PromptGuard &promptGuard;
     RouterMetrics &metrics;
     ServerConnectionPool &serverConnections;
     Budget::TokenBudget &tokenBudget;
--- /dev/null
+++ b/Libraries/Carawaykeel/Ingress/PromptGuard.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <Carawaykeel/Forwarding/PromptQuarantine.h>
+#include <Carawaykeel/Forwarding/ServerEntry.h>
+#include <Carawaykeel/Ingress/PromptReportTransport.h>
+#include <Carawaykeel/Ingress/ServerCrashDetector.h>
+#include <Carawaykeel/Logging/Logger.h>
+
+#include <span>
+#include <vector>
+
+namespace Carawaykeel::Ingress {
+
+/// Keeps requests with prompt parts that crash servers from the servers, on all instances.
+class PromptGuard
+{
+public:
+    /// Time between announcements of the quarantined parts while requests with them are rejected.
+    /// An instance that sees responses to such a part contradicts.
+    static constexpr Base::Milliseconds AnnouncementInterval{2'000};
+
+    PromptGuard(
+        Net::Reactor &reactor, PromptReportTransport &transport, const Logging::Logger &log);
+
+    /// Returns true if a request with this prompt must not be sent to a server.
+    bool isQuarantined(std::span<const Forwarding::PromptPart> prompt);
+
+    /// Call when a server has begun to respond to a request with this prompt.
+    void onResponded(std::span<const Forwarding::PromptPart> prompt);
+
+    /// Call when a server's connection was lost before it responded to such a request.
+    void onConnectionLost(
+        const Forwarding::ServerEntry &server, std::span<const Forwarding::PromptPart> prompt);
+
+    /// Handles the reports of another instance.
+    void onReports(
+        const Base::InstanceName &from, std::span<const Forwarding::PromptReport> reports);
+
+    /// Returns what an instance that has just started has to know.
+    std::vector<Forwarding::PromptReport> knownReports() const;
+
+private:
+    void onServerCrashed(const Base::ServerName &server, std::span<const std::uint64_t> parts);
+    void publish(const std::vector<Forwarding::PromptReport> &reports);
+    void logVerdict(const Forwarding::PromptReport &report, std::string_view source);
+
+    Net::Reactor &m_reactor;
+    PromptReportTransport &m_transport;
+    const Logging::Logger &m_log;
+    Forwarding::PromptQuarantine m_quarantine;
+    ServerCrashDetector m_crashDetector;
+    /// When other instances were last told which parts are quarantined here.
+    Base::Milliseconds m_announcedAt;
+};
+
+} // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -67,6 +67,8 @@
     , m_retryBudget(m_settings.retries, reactor.now())
     , m_backlogBroadcaster(reactor, m_serverPool,
           [this](const auto &backlogs) { m_membership->sendBacklogs(backlogs); })
+    , m_promptReportTransport(m_membership)
+    , m_promptGuard(reactor, m_promptReportTransport, m_log)
     , m_serverConnections(reactor, m_dependencies.dialect)
     , m_peerTransport(
           m_self.id, m_settings.peerAddress, MaxFrameBytes, m_codec, reactor,
@@ -77,7 +79,8 @@
           [this] { return m_membership->livePeers(); }, m_settings.allotments, m_random)
     , m_allotmentLogger(m_log)
     , m_context{reactor, m_dependencies.dialect, m_serverPool, m_retryBudget, m_backlogBroadcaster,
-          m_metrics, m_serverConnections, m_allotments, m_log, m_random, nullptr, false, 0}
+          m_promptGuard, m_metrics, m_serverConnections, m_allotments, m_log, m_random, nullptr,
+          false, 0}
     , m_serverListSubscriber(
           reactor, m_serverPool, m_dependencies.serverDecoder,
           [this](const Base::ServerName &serverIncarnation) {
@@ -135,6 +138,11 @@
                             std::span<const Forwarding::ServerBacklog> backlogs) {
         m_serverPool.onPeerBacklogs(from, backlogs, m_reactor.now());
     };
+    events.onPromptReports = [this](const Base::InstanceName &from,
+                                 std::span<const Forwarding::PromptReport> reports) {
+        m_promptGuard.onReports(from, reports);
+    };
+    events.knownPromptReports = [this] { return m_promptGuard.knownReports(); };
     events.onMemberFailed = [this](const Base::InstanceId &failedInstance) {
         m_log.warn(LogEvent::InstanceMissed,
             LogFields()
--- a/Libraries/Carawaykeel/Ingress/Router.h
+++ b/Libraries/Carawaykeel/Ingress/Router.h
@@ -10,6 +10,7 @@
 #include <Carawaykeel/Ingress/EntryHandler.h>
 #include <Carawaykeel/Ingress/ExchangeContext.h>
 #include <Carawaykeel/Ingress/ForwardHandler.h>
+#include <Carawaykeel/Ingress/GossipReportTransport.h>
 #include <Carawaykeel/Ingress/MetricsHandler.h>
 #include <Carawaykeel/Ingress/RouterSettingsParser.h>
 #include <Carawaykeel/Ingress/ServerListSubscriber.h>
@@ -82,6 +83,8 @@
     Forwarding::ServerPool m_serverPool;
     Forwarding::RetryBudget m_retryBudget;
     BacklogBroadcaster m_backlogBroadcaster;
+    GossipReportTransport m_promptReportTransport;
+    PromptGuard m_promptGuard;
     RouterMetrics m_metrics;
     ServerConnectionPool m_serverConnections;
     Adapters::TcpPeerTransport m_peerTransport;
--- a/Libraries/Carawaykeel/Logging/LogEvent.cpp
+++ b/Libraries/Carawaykeel/Logging/LogEvent.cpp
@@ -39,6 +39,14 @@
         return "server_announced";
     case LogEvent::ServerEntryUnusable:
         return "server_entry_unusable";
+    case LogEvent::ServerCrashed:
+        return "server_crashed";
+    case LogEvent::PromptPartSuspected:
+        return "prompt_part_suspected";
+    case LogEvent::PromptPartQuarantined:
+        return "prompt_part_quarantined";
+    case LogEvent::PromptPartSound:
+        return "prompt_part_sound";
     case LogEvent::ServerEntryRemoved:
         return "server_entry_removed";
     case LogEvent::ServerLeavingRelayed:
--- a/Libraries/Carawaykeel/Membership/GossipMessage.h
+++ b/Libraries/Carawaykeel/Membership/GossipMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Carawaykeel/Forwarding/PromptReport.h>
 #include <Carawaykeel/Forwarding/ServerBacklog.h>
 #include <Carawaykeel/Membership/Member.h>
 
@@ -20,6 +21,8 @@
     MemberListRequest,
     /// Some of the members that the sender knows, in reply to MemberListRequest.
     MemberList,
+    /// Reports prompt parts that crash servers; gets no reply.
+    PromptReports,
 };
 
 /// A gossip datagram. Each carries the sender, its configuration version and piggybacked updates.
@@ -34,12 +37,16 @@
     std::vector<Member> updates;
     std::vector<Base::ServerName> leavingServers;
     std::vector<Forwarding::ServerBacklog> backlogs;
+    /// Present only in PromptReports, which instances of earlier versions ignore.
+    std::vector<Forwarding::PromptReport> promptReports = {};
 
     template <class Archive>
     void serialize(Archive &archive)
     {
         archive(kind, sequence, sender, target, configurationVersion, updates, leavingServers,
             backlogs);
+        if (kind == GossipKind::PromptReports)
+            archive(promptReports);
     }
 };
 
--- a/Libraries/Carawaykeel/Membership/Membership.cpp
+++ b/Libraries/Carawaykeel/Membership/Membership.cpp
@@ -177,8 +177,14 @@
         if (m_events.onBacklogs)
             m_events.onBacklogs(message.sender.id.name, message.backlogs);
         break;
+    case GossipKind::PromptReports:
+        if (m_events.onPromptReports)
+            m_events.onPromptReports(message.sender.id.name, message.promptReports);
+        break;
     case GossipKind::MemberListRequest:
         sendMemberList(message.sender.gossipAddress);
+        if (m_events.knownPromptReports)
+            sendPromptReports(message.sender.gossipAddress, m_events.knownPromptReports());
         break;
     case GossipKind::MemberList:
         break;
--- a/Libraries/Carawaykeel/Membership/Membership.h
+++ b/Libraries/Carawaykeel/Membership/Membership.h
@@ -29,6 +29,11 @@
     /// A member reported the unprocessed prompt tokens of its requests at servers.
     std::function<void(const Base::InstanceName &from, std::span<const Forwarding::ServerBacklog>)>
         onBacklogs = {};
+    /// A member reported prompt parts that crash servers.
+    std::function<void(const Base::InstanceName &from, std::span<const Forwarding::PromptReport>)>
+        onPromptReports = {};
+    /// Returns the prompt reports for a member that requests the list of all members.
+    std::function<std::vector<Forwarding::PromptReport>()> knownPromptReports = {};
 };
 
 /// The membership protocol of the fleet, based on SWIM (Das, Gupta, Motivala 2002): one probe a
@@ -57,6 +62,12 @@
     /// members.
     void sendBacklogs(const std::vector<Forwarding::ServerBacklog> &backlogs);
 
+    /// Sends prompt reports to at most `count` random live members.
+    void sendPromptReports(std::span<const Forwarding::PromptReport> reports, std::size_t count);
+    /// Sends prompt reports to one member, if it is known.
+    void sendPromptReports(
+        std::span<const Forwarding::PromptReport> reports, const Base::InstanceName &to);
+
     /// Sets the configuration version that datagrams carry.
     void setConfigurationVersion(std::uint64_t version);
 
@@ -103,6 +114,9 @@
     void probeIndirectly(const Base::InstanceName &name, std::uint64_t sequence);
     void requestMemberLists(std::size_t count);
     void sendMemberList(const std::string &address);
+    void sendPromptReports(
+        std::string_view address, std::span<const Forwarding::PromptReport> reports);
+    std::vector<const Member *> selectRandomMembers(std::size_t count);
     void reconnect();
     void enqueueIfNotAlive(const Base::InstanceName &name);
     void suspectMember(const Base::InstanceName &name, std::uint64_t sequence);
--- a/Libraries/Carawaykeel/Membership/MembershipUpdates.cpp
+++ b/Libraries/Carawaykeel/Membership/MembershipUpdates.cpp
@@ -88,15 +88,44 @@
         m_transport.send(address, message);
 }
 
+std::vector<const Member *> Membership::selectRandomMembers(std::size_t count)
+{
+    auto members = liveMembers();
+    std::ranges::shuffle(members, m_random);
+    members.resize(std::min(members.size(), count));
+    return members;
+}
+
 void Membership::sendBacklogs(const std::vector<Forwarding::ServerBacklog> &backlogs)
 {
-    auto receivers = liveMembers();
-    std::ranges::shuffle(receivers, m_random);
-    receivers.resize(std::min(receivers.size(), m_policy.maxBacklogReceivers));
-    for (const auto *member : receivers) {
+    for (const auto *member : selectRandomMembers(m_policy.maxBacklogReceivers)) {
         m_transport.send(member->gossipAddress,
             {GossipKind::Backlogs, 0, m_self, {}, m_configurationVersion, {}, {}, backlogs});
     }
 }
 
+void Membership::sendPromptReports(
+    std::span<const Forwarding::PromptReport> reports, std::size_t count)
+{
+    for (const auto *member : selectRandomMembers(count))
+        sendPromptReports(member->gossipAddress, reports);
+}
+
+void Membership::sendPromptReports(
+    std::span<const Forwarding::PromptReport> reports, const Base::InstanceName &to)
+{
+    if (const auto it = m_members.find(to); it != m_members.end())
+        sendPromptReports(it->second.gossipAddress, reports);
+}
+
+void Membership::sendPromptReports(
+    std::string_view address, std::span<const Forwarding::PromptReport> reports)
+{
+    if (reports.empty())
+        return;
+    m_transport.send(address,
+        {GossipKind::PromptReports, 0, m_self, {}, m_configurationVersion, {}, {}, {},
+            {reports.begin(), reports.end()}});
+}
+
 } // namespace Carawaykeel::Membership
--- a/Tests/Support/RouterHarness.cpp
+++ b/Tests/Support/RouterHarness.cpp
@@ -30,14 +30,15 @@
 
 RouterHarness::RouterHarness(
     Forwarding::Route route, const std::vector<std::string> &serverAddresses)
-    : m_serverPool(Base::DataCentre("dc"), {}, m_random)
+    : m_log({Base::InstanceName("test"), 1}, m_logSink)
+    , m_serverPool(Base::DataCentre("dc"), {}, m_random)
     , m_retryBudget(RetryPolicy, Base::Milliseconds() - RetryPolicy.window)
     , m_backlogBroadcaster(m_reactor, m_serverPool, [](const auto &) {})
+    , m_promptGuard(m_reactor, m_otherInstances, m_log)
     , m_serverConnections(m_reactor, m_dialect)
-    , m_log({Base::InstanceName("test"), 1}, m_logSink)
-    , m_context{m_reactor, m_dialect, m_serverPool, m_retryBudget, m_backlogBroadcaster, m_metrics,
-          m_serverConnections, m_tokenBudget, m_log, m_random, makeConfiguration(std::move(route)),
-          false, 0}
+    , m_context{m_reactor, m_dialect, m_serverPool, m_retryBudget, m_backlogBroadcaster,
+          m_promptGuard, m_metrics, m_serverConnections, m_tokenBudget, m_log, m_random,
+          makeConfiguration(std::move(route)), false, 0}
     , m_handler(m_context)
     , m_callerListener(
           m_reactor, "127.0.0.1:0", m_handler, [] { return Forwarding::CallerLimits(); },
--- a/Tests/Support/RouterHarness.h
+++ b/Tests/Support/RouterHarness.h
@@ -57,17 +57,29 @@
         void settle(const Budget::TokenHold &, Base::Tokens) override { }
     };
 
+    class NoOtherInstances : public Ingress::PromptReportTransport
+    {
+    public:
+        void sendToAll(std::span<const Forwarding::PromptReport>) override { }
+        void sendToSome(std::span<const Forwarding::PromptReport>) override { }
+        void sendTo(const Base::InstanceName &, std::span<const Forwarding::PromptReport>) override
+        {
+        }
+    };
+
     Net::Reactor m_reactor;
+    MemoryLogSink m_logSink;
+    Logging::Logger m_log;
     CarawaykeelPlatform::PlatformDialect m_dialect;
     Base::RandomEngine m_random{1};
     Forwarding::ServerPool m_serverPool;
     Forwarding::RetryBudget m_retryBudget;
     Ingress::BacklogBroadcaster m_backlogBroadcaster;
+    NoOtherInstances m_otherInstances;
+    Ingress::PromptGuard m_promptGuard;
     Ingress::RouterMetrics m_metrics;
     Ingress::ServerConnectionPool m_serverConnections;
     UnlimitedBudget m_tokenBudget;
-    MemoryLogSink m_logSink;
-    Logging::Logger m_log;
     Ingress::ExchangeContext m_context;
     Ingress::ForwardHandler m_handler;
     Ingress::CallerListener m_callerListener;
