Ingress: Treat a stream that ends inside an event as broken off

Callers could get a stream that ended as complete with a part of an event, when a server crashed that frames its stream by the end of the connection, or closes its chunks.

Cause: Exchange took the end of the framing for the end of the stream and forwarded what was left of an event. Change: such a stream, and one without framing that ends before its first event, is a lost connection: it resumes at another server after the last whole event, or is aborted, and the crash counts for the prompt's parts. A response with a length ends where its server says.

ExchangeTest::streamThatEndsInsideAnEventResumes and ...IsAborted failed before.

--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -153,6 +153,8 @@
     m_lastActivityAt = m_context.reactor.now();
     m_response.head = std::make_unique<Poco::Net::HTTPResponse>(head);
     m_response.metadata = metadata;
+    m_response.hasLength = head.hasContentLength();
+    m_response.isChunked = head.getChunkedTransferEncoding();
     Http::removeHopByHopFields(*m_response.head);
     Http::removeFramingFields(*m_response.head);
     if (metadata.reportedLoad)
@@ -221,6 +223,8 @@
         endAttempt(true);
         return handleAttemptOutcome(Forwarding::AttemptOutcome::InvalidResponse);
     }
+    if (isStream() && isBrokenOff())
+        return onResponseFailed(Forwarding::AttemptOutcome::ConnectionLost);
     markResponded();
     endAttempt(false);
     if (!isStream())
@@ -228,11 +232,21 @@
     if (!m_responseWriter)
         return;
     beginStream();
+    // Only a response with a length may end with bytes that are no event.
     m_responseWriter->sendStream(m_events.partialEvent());
     m_responseWriter->endStream();
     finish(ServedOutcome);
 }
 
+bool Exchange::isBrokenOff() const
+{
+    if (m_response.hasLength)
+        return false;
+    // A crash closes the connection too, so the end of the connection alone shows nothing.
+    const bool hasNoEvent = !m_response.isChunked && !m_response.hasContent;
+    return hasNoEvent || !m_events.partialEvent().empty();
+}
+
 void Exchange::failAttempt(Forwarding::AttemptOutcome outcome)
 {
     m_connection->cancel();
--- a/Libraries/Carawaykeel/Ingress/Exchange.h
+++ b/Libraries/Carawaykeel/Ingress/Exchange.h
@@ -53,12 +53,16 @@
         std::string body;
         /// The server has sent a complete event or response, so the prompt did not crash it.
         bool hasContent = false;
+        /// How the response is framed; with neither it ends with its connection.
+        bool hasLength = false;
+        bool isChunked = false;
     };
 
     Base::Result<void> tryAdmit();
     static Base::Failure quarantineFailure();
     bool isStream() const { return m_route.kind == Forwarding::RouteKind::Stream; }
     bool isSuccess() const;
+    bool isBrokenOff() const;
     void holdTokens();
     void sendAttempt();
     std::string encode(const Forwarding::KnownServer &server);
--- a/Tests/Ingress/ExchangeTest.cpp
+++ b/Tests/Ingress/ExchangeTest.cpp
@@ -78,6 +78,7 @@
     CPPUNIT_TEST(streamThatCannotResumeIsAborted);
     CPPUNIT_TEST(streamThatEndsInsideAnEventResumes);
     CPPUNIT_TEST(streamThatEndsInsideAnEventIsAborted);
+    CPPUNIT_TEST(streamThatEndsBeforeItsFirstEventIsAFailure);
     CPPUNIT_TEST(streamWithoutFramingEndsWithItsConnection);
     CPPUNIT_TEST(errorAfterABrokenStreamAbortsIt);
     CPPUNIT_TEST(streamIsAbortedWhenNoServerIsLeft);
@@ -346,6 +347,16 @@
         CPPUNIT_ASSERT_EQUAL(event(1), response.body);
     }
 
+    void streamThatEndsBeforeItsFirstEventIsAFailure()
+    {
+        ScriptedServer crashing([](const ReceivedRequest &request, int) {
+            return ScriptedResponse{unframedStreamHead(request), Then::Close};
+        });
+        RouterHarness router(makeRoute(Forwarding::RouteKind::Stream), {crashing.address()});
+        CPPUNIT_ASSERT_EQUAL(
+            502, router.call(RouterHarness::makeRequest("1", {}, "POST", "prompt")).status);
+    }
+
     void streamWithoutFramingEndsWithItsConnection()
     {
         ScriptedServer server([](const ReceivedRequest &request, int) {
