Ingress: Never send another response inside a stream

Callers could find the head and text of an error in the middle of their stream: the stream broke off, the request was resumed at another server, and that one answered with a 4xx, or none was left and the router sent its own error.

Cause: only the decision after a failed attempt knew that the stream had begun; forwarding a server's error and reporting a failure of our own did not. Change: both abort the caller's connection once part of a stream was sent, in the one place that ends streams.

ExchangeTest::errorAfterABrokenStreamAbortsIt and ::streamIsAbortedWhenNoServerIsLeft failed before. The product's own interface ends a stream only with the server's last event (EventStreamRelayTest).

--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -20,6 +20,7 @@
 /// default limit of request bodies. Plain services respond with a few kilobytes.
 constexpr std::size_t MaxBufferedResponseBytes = 4 * 1'024 * 1'024;
 constexpr std::string_view ServedOutcome = "served";
+constexpr std::string_view BrokenOffOutcome = "broken_off";
 
 } // namespace
 
@@ -327,17 +328,25 @@
     case Forwarding::NextStep::ForwardFailure:
         return forwardResponse();
     case Forwarding::NextStep::AbortResponse:
-        if (m_responseWriter)
-            m_responseWriter->abort();
-        return finish("broken_off");
+        return abortStream(BrokenOffOutcome);
     case Forwarding::NextStep::Fail:
         break;
     }
     fail({decision.kind, "", NoServerRetryAfter});
 }
 
+void Exchange::abortStream(std::string_view outcome)
+{
+    if (m_responseWriter)
+        m_responseWriter->abort();
+    finish(outcome);
+}
+
 void Exchange::forwardResponse()
 {
+    // The stream that the caller receives cannot end with another response.
+    if (m_hasStreamStarted)
+        return abortStream(BrokenOffOutcome);
     if (m_responseWriter)
         m_responseWriter->sendResponse(*m_response.head, m_response.body);
     finish(ServedOutcome);
@@ -357,11 +366,8 @@
     if (m_isFinished)
         return;
     cancelAttempt();
-    if (m_hasStreamStarted) {
-        if (m_responseWriter)
-            m_responseWriter->abort();
-        return finish("timed_out_midway");
-    }
+    if (m_hasStreamStarted)
+        return abortStream("timed_out_midway");
     fail({m_mayHaveRun ? Base::ErrorKind::ServerTimeout : Base::ErrorKind::QueueTimeout, "",
         Base::Milliseconds()});
 }
@@ -385,9 +391,11 @@
 {
     if (m_isFinished)
         return;
+    m_failureReason = failure.message;
+    if (m_hasStreamStarted)
+        return abortStream(BrokenOffOutcome);
     if (m_responseWriter)
         sendErrorResponse(*m_responseWriter, failure, m_context.dialect);
-    m_failureReason = failure.message;
     finish(Base::errorResponseFor(failure.kind).name);
 }
 
--- a/Libraries/Carawaykeel/Ingress/Exchange.h
+++ b/Libraries/Carawaykeel/Ingress/Exchange.h
@@ -77,6 +77,7 @@
     void handleAttemptOutcome(Forwarding::AttemptOutcome outcome);
     void forwardEvents(std::string_view bytes);
     void beginStream();
+    void abortStream(std::string_view outcome);
     void forwardResponse();
     void fail(const Base::Failure &failure);
     void finish(std::string_view outcome);
