Ingress: Do not trust a failure without an id on a kept connection

Callers could be told that their request was not executed although a server executed it: a faulty server wrote an earlier refusal once more on a kept connection, and without an id it was taken for the refusal of the next request (REFUSED, TWICE).

Change: once a connection has carried a response, a failure that names no request may belong to an earlier one; the attempt then counts as possibly executed and the connection is closed. A refusal that names an earlier request was skipped already.

ExchangeTest::refusalWithoutIdIsNotTrustedOnAKeptConnection: 503 before, 502 after. Suspected, not changed: the product's own interface takes a response without the attempt's id for the expected one, since engines need not echo it.

--- a/Libraries/Carawaykeel/Ingress/ServerConnection.cpp
+++ b/Libraries/Carawaykeel/Ingress/ServerConnection.cpp
@@ -166,8 +166,13 @@
         return true;
     const auto metadata = m_dialect.readResponse(**head);
     m_bodyDecoder = Http::BodyDecoder::forResponse(**head, m_method);
-    m_isStaleResponse = metadata.requestId != m_requestId
-        && !(metadata.requestId.empty() && status >= FirstNonSuccessStatus);
+    const bool hasNoId = metadata.requestId.empty() && status >= FirstNonSuccessStatus;
+    // A failure without an id may repeat the response to an earlier request of this connection.
+    if (hasNoId && m_hasResponded) {
+        fail(Forwarding::AttemptOutcome::InvalidResponse);
+        return false;
+    }
+    m_isStaleResponse = metadata.requestId != m_requestId && !hasNoId;
     if (m_isStaleResponse) {
         // A late response to an earlier request; the expected response may follow.
         if (m_bodyDecoder->framing() == Http::BodyFraming::UntilClose) {
@@ -204,6 +209,7 @@
 void ServerConnection::finishResponse()
 {
     m_bodyDecoder.reset();
+    m_hasResponded = true;
     if (m_isStaleResponse)
         return;
     // Not reusable: a server that responded before it received the complete request still expects
--- a/Libraries/Carawaykeel/Ingress/ServerConnection.h
+++ b/Libraries/Carawaykeel/Ingress/ServerConnection.h
@@ -71,6 +71,8 @@
     std::string m_pendingRequest;
     std::string m_received;
     std::optional<Http::BodyDecoder> m_bodyDecoder;
+    /// A response was received on this connection, so later bytes may repeat it.
+    bool m_hasResponded = false;
     /// The response being read belongs to an earlier request.
     bool m_isStaleResponse = false;
     bool m_closesAfterResponse = false;
