Ingress: Keep the evidence against prompt parts

After a restart of all processes servers crashed again on parts that had been quarantined, and an instance that was restarted alone did not learn of parts that the others reject only together.

Cause: evidence lived in the instances' memory, and only certain quarantines were told to new ones. Change: instances answer a member list request, and a report that adds to what they know, with the crashes themselves; those that see a crash write the evidence to the table service, a row a part, which every process reads once at its start. The fake table now reports its clock with every read, as the platform does.

--- a/Libraries/Carawaykeel/Forwarding/PromptQuarantine.cpp
+++ b/Libraries/Carawaykeel/Forwarding/PromptQuarantine.cpp
@@ -46,9 +46,13 @@
         if (report.verdict == PromptVerdict::Sound) {
             markSound(report.part, now);
         } else if (isSound(report.part, now)) {
-            replies.contradicted.push_back({report.part, PromptVerdict::Sound, {}});
+            replies.answered.push_back({report.part, PromptVerdict::Sound, {}});
         } else if (report.verdict == PromptVerdict::Suspected) {
-            recordCrash(report.part, {report.server, now});
+            const bool isNew = recordCrash(report.part, {report.server, now});
+            const auto evidence = evidenceOf(report.part, now);
+            // Evidence is not answered with evidence, since all of it is known here.
+            if (isNew)
+                replies.answered.insert(replies.answered.end(), evidence.begin(), evidence.end());
         } else if (auto &suspect = suspectOf(report.part); !isQuarantined(suspect, now)) {
             suspect.quarantinedAt = now;
             forgetExplainedCrashes(report.part);
@@ -84,14 +88,32 @@
     return false;
 }
 
-std::vector<std::uint64_t> PromptQuarantine::quarantinedParts(Base::Milliseconds now) const
+std::vector<PromptReport> PromptQuarantine::evidenceOf(
+    std::uint64_t part, Base::Milliseconds now) const
 {
-    std::vector<std::uint64_t> parts;
+    const auto it = m_suspects.find(part);
+    if (it == m_suspects.end())
+        return {};
+    if (isQuarantined(it->second, now))
+        return {{part, PromptVerdict::Quarantined, {}}};
+    std::vector<PromptReport> evidence;
+    if (isBlamed(it->second, now)) {
+        for (const auto &crash : it->second.crashes)
+            evidence.push_back({part, PromptVerdict::Suspected, crash.server});
+    }
+    return evidence;
+}
+
+std::vector<PromptReport> PromptQuarantine::allEvidence(
+    std::size_t maxReports, Base::Milliseconds now) const
+{
+    std::vector<PromptReport> evidence;
     for (const auto &[part, suspect] : m_suspects) {
-        if (isQuarantined(suspect, now))
-            parts.push_back(part);
+        const auto reports = evidenceOf(part, now);
+        if (evidence.size() + reports.size() <= maxReports)
+            evidence.insert(evidence.end(), reports.begin(), reports.end());
     }
-    return parts;
+    return evidence;
 }
 
 bool PromptQuarantine::isSound(std::uint64_t part, Base::Milliseconds now) const
@@ -132,7 +154,7 @@
         other.crashes, [&](const Crash &crash) { return wasAt(cause, crash); });
 }
 
-void PromptQuarantine::recordCrash(std::uint64_t part, const Crash &crash)
+bool PromptQuarantine::recordCrash(std::uint64_t part, const Crash &crash)
 {
     auto &suspect = suspectOf(part);
     std::erase_if(suspect.crashes,
@@ -142,10 +164,11 @@
             && wasAt(other.second, crash);
     });
     if (isExplained || wasAt(suspect, crash))
-        return;
+        return false;
     suspect.crashes.push_back(crash);
     if (isQuarantined(suspect, crash.at))
         forgetExplainedCrashes(part);
+    return true;
 }
 
 void PromptQuarantine::forgetExplainedCrashes(std::uint64_t quarantinedPart)
--- a/Libraries/Carawaykeel/Forwarding/PromptQuarantine.h
+++ b/Libraries/Carawaykeel/Forwarding/PromptQuarantine.h
@@ -36,8 +36,9 @@
 {
     /// Parts that are quarantined because of the reports; other instances may not know them.
     std::vector<PromptReport> relayed;
-    /// Parts that servers responded to, contrary to the reports. Their sender has to know them.
-    std::vector<PromptReport> contradicted;
+    /// What the sender has to know: parts that servers responded to, contrary to its reports, and
+    /// further evidence against parts that it suspects.
+    std::vector<PromptReport> answered;
 };
 
 /// Finds the shared prompt parts that crash each server that responds to them, from what all
@@ -67,8 +68,11 @@
     /// Returns true if a request with these shared parts must not be sent to a server.
     bool isRejected(std::span<const std::uint64_t> parts, Base::Milliseconds now);
 
-    /// Returns the quarantined parts.
-    std::vector<std::uint64_t> quarantinedParts(Base::Milliseconds now) const;
+    /// Returns the reports from which another instance learns to reject the same requests: that a
+    /// part is quarantined, or the crashes that it is blamed for.
+    std::vector<PromptReport> evidenceOf(std::uint64_t part, Base::Milliseconds now) const;
+    /// Returns the evidence of all parts, at most `maxReports`.
+    std::vector<PromptReport> allEvidence(std::size_t maxReports, Base::Milliseconds now) const;
 
 private:
     struct Crash
@@ -89,7 +93,8 @@
     bool isSameCrash(const Crash &left, const Crash &right) const;
     bool wasAt(const Suspect &suspect, const Crash &crash) const;
     bool explains(const Suspect &cause, const Suspect &other) const;
-    void recordCrash(std::uint64_t part, const Crash &crash);
+    /// Returns false if the crash is known or explained by a quarantined part.
+    bool recordCrash(std::uint64_t part, const Crash &crash);
     void forgetExplainedCrashes(std::uint64_t quarantinedPart);
     std::vector<PromptReport> quarantineUnambiguousParts(Base::Milliseconds now);
     void markSound(std::uint64_t part, Base::Milliseconds now);
--- a/Libraries/Carawaykeel/Ingress/PromptGuard.cpp
+++ b/Libraries/Carawaykeel/Ingress/PromptGuard.cpp
@@ -28,16 +28,28 @@
 
 } // namespace
 
-PromptGuard::PromptGuard(
-    Net::Reactor &reactor, PromptReportTransport &transport, const Logging::Logger &log)
+PromptGuard::PromptGuard(Net::Reactor &reactor, PromptReportTransport &transport,
+    QuarantineStore &store, const Logging::Logger &log)
     : m_reactor(reactor)
     , m_transport(transport)
+    , m_store(store)
     , m_log(log)
     , m_crashDetector(
           reactor, [this](const auto &server, auto parts) { onServerCrashed(server, parts); })
 {
 }
 
+void PromptGuard::start()
+{
+    m_store.load([this](const QuarantineStore::Evidence &evidence) {
+        for (const auto &report : evidence) {
+            m_storedParts.insert(report.part);
+            logVerdict(report, "store");
+        }
+        m_quarantine.onReports(evidence, m_reactor.now());
+    });
+}
+
 bool PromptGuard::isQuarantined(std::span<const Forwarding::PromptPart> prompt)
 {
     const auto now = m_reactor.now();
@@ -80,25 +92,36 @@
         logVerdict(report, from.text());
     if (!replies.relayed.empty())
         m_transport.sendToSome(replies.relayed);
-    if (!replies.contradicted.empty())
-        m_transport.sendTo(from, replies.contradicted);
+    if (!replies.answered.empty())
+        m_transport.sendTo(from, replies.answered);
 }
 
 std::vector<PromptReport> PromptGuard::knownReports() const
 {
-    std::vector<PromptReport> reports;
-    for (const auto part : m_quarantine.quarantinedParts(m_reactor.now())) {
-        reports.push_back({part, PromptVerdict::Quarantined, {}});
-        if (reports.size() == MaxKnownReports)
-            break;
+    return m_quarantine.allEvidence(MaxKnownReports, m_reactor.now());
+}
+
+void PromptGuard::save(const std::vector<PromptReport> &reports)
+{
+    std::set<std::uint64_t> parts;
+    for (const auto &report : reports)
+        parts.insert(report.part);
+    for (const auto part : parts) {
+        auto evidence = m_quarantine.evidenceOf(part, m_reactor.now());
+        // Only parts that have been blamed have a row to remove.
+        if (evidence.empty() && m_storedParts.erase(part) == 0)
+            continue;
+        if (!evidence.empty())
+            m_storedParts.insert(part);
+        m_store.save(part, std::move(evidence));
     }
-    return reports;
 }
 
 void PromptGuard::publish(const std::vector<PromptReport> &reports)
 {
     for (const auto &report : reports)
         logVerdict(report, "own");
+    save(reports);
     if (!reports.empty())
         m_transport.sendToAll(reports);
 }
--- a/Libraries/Carawaykeel/Ingress/PromptGuard.h
+++ b/Libraries/Carawaykeel/Ingress/PromptGuard.h
@@ -3,9 +3,11 @@
 #include <Carawaykeel/Forwarding/PromptQuarantine.h>
 #include <Carawaykeel/Forwarding/ServerEntry.h>
 #include <Carawaykeel/Ingress/PromptReportTransport.h>
+#include <Carawaykeel/Ingress/QuarantineStore.h>
 #include <Carawaykeel/Ingress/ServerCrashDetector.h>
 #include <Carawaykeel/Logging/Logger.h>
 
+#include <set>
 #include <span>
 #include <vector>
 
@@ -19,8 +21,11 @@
     /// An instance that sees responses to such a part contradicts.
     static constexpr Base::Milliseconds AnnouncementInterval{2'000};
 
-    PromptGuard(
-        Net::Reactor &reactor, PromptReportTransport &transport, const Logging::Logger &log);
+    PromptGuard(Net::Reactor &reactor, PromptReportTransport &transport, QuarantineStore &store,
+        const Logging::Logger &log);
+
+    /// Loads what earlier processes found. Call once.
+    void start();
 
     /// Returns true if a request with this prompt must not be sent to a server.
     bool isQuarantined(std::span<const Forwarding::PromptPart> prompt);
@@ -41,16 +46,20 @@
 
 private:
     void onServerCrashed(const Base::ServerName &server, std::span<const std::uint64_t> parts);
+    void save(const std::vector<Forwarding::PromptReport> &reports);
     void publish(const std::vector<Forwarding::PromptReport> &reports);
     void logVerdict(const Forwarding::PromptReport &report, std::string_view source);
 
     Net::Reactor &m_reactor;
     PromptReportTransport &m_transport;
+    QuarantineStore &m_store;
     const Logging::Logger &m_log;
     Forwarding::PromptQuarantine m_quarantine;
     ServerCrashDetector m_crashDetector;
     /// When other instances were last told which parts are quarantined here.
     Base::Milliseconds m_announcedAt;
+    /// Parts that the store has evidence against, as far as this instance knows.
+    std::set<std::uint64_t> m_storedParts;
 };
 
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -68,7 +68,8 @@
     , m_backlogBroadcaster(reactor, m_serverPool,
           [this](const auto &backlogs) { m_membership->sendBacklogs(backlogs); })
     , m_promptReportTransport(m_membership)
-    , m_promptGuard(reactor, m_promptReportTransport, m_log)
+    , m_quarantineStore(m_dependencies.table, reactor, m_random)
+    , m_promptGuard(reactor, m_promptReportTransport, m_quarantineStore, m_log)
     , m_serverConnections(reactor, m_dependencies.dialect)
     , m_peerTransport(
           m_self.id, m_settings.peerAddress, MaxFrameBytes, m_codec, reactor,
@@ -212,6 +213,7 @@
     startMetricsListener();
     m_membership->start();
     m_allotments.start();
+    m_promptGuard.start();
     runMaintenance();
 }
 
--- a/Libraries/Carawaykeel/Ingress/Router.h
+++ b/Libraries/Carawaykeel/Ingress/Router.h
@@ -84,6 +84,7 @@
     Forwarding::RetryBudget m_retryBudget;
     BacklogBroadcaster m_backlogBroadcaster;
     GossipReportTransport m_promptReportTransport;
+    QuarantineStore m_quarantineStore;
     PromptGuard m_promptGuard;
     RouterMetrics m_metrics;
     ServerConnectionPool m_serverConnections;
--- a/Tests/Forwarding/PromptQuarantineTest.cpp
+++ b/Tests/Forwarding/PromptQuarantineTest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(furtherCrashTellsPartsApart);
     CPPUNIT_TEST(unrelatedCrashesQuarantineNothing);
     CPPUNIT_TEST(allInstancesLearnOfAQuarantine);
+    CPPUNIT_TEST(restartedInstanceLearnsWhatCannotBeToldApart);
     CPPUNIT_TEST(otherInstancesContradictAWrongQuarantine);
     CPPUNIT_TEST(expiredQuarantineStartsAgainWithOneCrash);
     CPPUNIT_TEST(suspectsAreBounded);
@@ -126,7 +127,7 @@
                     quarantine.onResponded(Parts{First, served}, m_now);
             }
         }
-        CPPUNIT_ASSERT(quarantine.quarantinedParts(m_now).empty());
+        CPPUNIT_ASSERT(quarantine.allEvidence(100, m_now).empty());
     }
 
     void allInstancesLearnOfAQuarantine()
@@ -145,6 +146,23 @@
         CPPUNIT_ASSERT(late.onReports(relayed, m_now).relayed.empty());
     }
 
+    /// Guards against a restarted instance that crashes servers on parts which the others reject
+    /// only together.
+    void restartedInstanceLearnsWhatCannotBeToldApart()
+    {
+        PromptQuarantine witness;
+        for (int n = 0; n < 4; ++n)
+            crash(witness, n, {Companion, Deadly});
+        PromptQuarantine restarted;
+        restarted.onReports(witness.allEvidence(100, m_now), m_now);
+        CPPUNIT_ASSERT(restarted.isRejected(Parts{Companion, Deadly}, m_now));
+        CPPUNIT_ASSERT(!restarted.isRejected(Parts{Companion}, m_now));
+        PromptQuarantine unaware;
+        const auto reports = crash(unaware, 9, {Companion, Deadly});
+        unaware.onReports(witness.onReports(reports, m_now).answered, m_now);
+        CPPUNIT_ASSERT(unaware.isRejected(Parts{Companion, Deadly}, m_now));
+    }
+
     /// Guards against an instance that rejects sound requests for good because it saw three crashes
     /// and no response, for example just after all processes were restarted.
     void otherInstancesContradictAWrongQuarantine()
@@ -159,7 +177,7 @@
         const auto replies = other.onReports(reports, m_now);
         CPPUNIT_ASSERT(replies.relayed.empty());
         CPPUNIT_ASSERT(!other.isRejected(Parts{First}, m_now));
-        wrong.onReports(replies.contradicted, m_now);
+        wrong.onReports(replies.answered, m_now);
         CPPUNIT_ASSERT(!wrong.isRejected(Parts{First}, m_now));
     }
 
--- a/Tests/Ingress/ConfigurationFetchTest.cpp
+++ b/Tests/Ingress/ConfigurationFetchTest.cpp
@@ -2,6 +2,7 @@
 
 #include <Support/MemoryLogSink.h>
 #include <Support/NeighbourInstance.h>
+#include <Support/UnreachableTable.h>
 #include <platform/ConfigurationDecoder.h>
 #include <platform/PlatformDialect.h>
 #include <platform/ServerEntryDecoder.h>
@@ -19,33 +20,6 @@
 
 constexpr auto PeerKey = "key";
 
-/// A table service that cannot be reached.
-class UnreachableTable : public Platform::TableService
-{
-public:
-    explicit UnreachableTable(Base::Scheduler &scheduler)
-        : m_scheduler(scheduler)
-    {
-    }
-
-    void readRows(
-        std::vector<std::string>, std::function<void(Platform::RowsReply)> callback) override
-    {
-        m_scheduler.schedule(Base::Milliseconds(), [callback] { callback({}); });
-    }
-    void readRange(std::string, std::function<void(Platform::RangeReply)> callback) override
-    {
-        m_scheduler.schedule(Base::Milliseconds(), [callback] { callback({}); });
-    }
-    void commit(Platform::Transaction, std::function<void(Platform::CommitReply)> callback) override
-    {
-        m_scheduler.schedule(Base::Milliseconds(), [callback] { callback({}); });
-    }
-
-private:
-    Base::Scheduler &m_scheduler;
-};
-
 Ingress::RouterSettings makeSettings()
 {
     Ingress::RouterSettings settings;
--- a/Tests/Support/FakeTable.cpp
+++ b/Tests/Support/FakeTable.cpp
@@ -113,7 +113,7 @@
     call<Platform::RowsReply>(
         [&table = m_table, keys = std::move(keys)] {
             ++table.reads;
-            Platform::RowsReply reply{true, {}};
+            Platform::RowsReply reply{true, {}, table.clock()};
             for (const auto &key : keys)
                 reply.rows.push_back(table.find(key));
             return reply;
--- a/Tests/Support/RouterHarness.cpp
+++ b/Tests/Support/RouterHarness.cpp
@@ -34,7 +34,8 @@
     , m_serverPool(Base::DataCentre("dc"), {}, m_random)
     , m_retryBudget(RetryPolicy, Base::Milliseconds() - RetryPolicy.window)
     , m_backlogBroadcaster(m_reactor, m_serverPool, [](const auto &) {})
-    , m_promptGuard(m_reactor, m_otherInstances, m_log)
+    , m_quarantineStore(m_table, m_reactor, m_random)
+    , m_promptGuard(m_reactor, m_otherInstances, m_quarantineStore, m_log)
     , m_serverConnections(m_reactor, m_dialect)
     , m_context{m_reactor, m_dialect, m_serverPool, m_retryBudget, m_backlogBroadcaster,
           m_promptGuard, m_metrics, m_serverConnections, m_tokenBudget, m_log, m_random,
--- a/Tests/Support/RouterHarness.h
+++ b/Tests/Support/RouterHarness.h
@@ -6,6 +6,7 @@
 #include <platform/PlatformDialect.h>
 
 #include <Support/MemoryLogSink.h>
+#include <Support/UnreachableTable.h>
 
 #include <memory>
 #include <string>
@@ -78,6 +79,8 @@
     Forwarding::RetryBudget m_retryBudget;
     Ingress::BacklogBroadcaster m_backlogBroadcaster;
     NoOtherInstances m_otherInstances;
+    UnreachableTable m_table{m_reactor};
+    Ingress::QuarantineStore m_quarantineStore;
     Ingress::PromptGuard m_promptGuard;
     Ingress::RouterMetrics m_metrics;
     Ingress::ServerConnectionPool m_serverConnections;
