--- a/Benchmarks/Capacity/main.cpp
+++ b/Benchmarks/Capacity/main.cpp
@@ -3,6 +3,7 @@
 #include "GossipFleet.h"
 
 #include <Carawaykeel/Configuration/DeclarationParser.h>
+#include <Carawaykeel/Forwarding/PromptQuarantine.h>
 #include <Carawaykeel/Platform/RowCodec.h>
 #include <Carawaykeel/Requests/RequestRegistry.h>
 #include <Carawaykeel/Routing/ServerSelection.h>
@@ -157,6 +158,34 @@
     double m_referenceMicroseconds = 1;
 };
 
+/// Measures what prompt quarantine costs an instance for a request, and for a crash that it sees in
+/// fleets of different sizes.
+void measureQuarantine()
+{
+    constexpr std::uint64_t SharedParts = 8'000;
+    constexpr std::uint64_t QuarantinedParts = 100;
+    fmt::print("\n## Prompt quarantine with {} shared parts in use and {} quarantined\n\n"
+               "| part | us | times the reference loop |\n|---|---|---|\n",
+        SharedParts, QuarantinedParts);
+    const auto memoryBefore = mallinfo2().uordblks;
+    Forwarding::PromptQuarantine quarantine;
+    const Base::Milliseconds now(1'000);
+    for (std::uint64_t part = 0; part < SharedParts; ++part)
+        quarantine.onResponded(std::vector{part}, now);
+    for (std::uint64_t part = SharedParts; part < SharedParts + QuarantinedParts; ++part) {
+        for (const auto *server : {"a", "b", "c"})
+            quarantine.onServerCrashed(Base::ServerName(server), std::vector{part}, now);
+    }
+    const auto memory = mallinfo2().uordblks - memoryBefore;
+    CallTimer timer;
+    const std::vector<std::uint64_t> parts{1, 2, 3};
+    timer.print("check a request with 3 shared parts", 1'000'000,
+        [&] { quarantine.isRejected(parts, now); });
+    timer.print("record a response with 3 shared parts", 1'000'000,
+        [&] { quarantine.onResponded(parts, now); });
+    fmt::print("\n- memory: {} KB\n", memory / 1'024);
+}
+
 std::string declarationText(int teams, int budgets, int servers)
 {
     std::string text = R"({"rules":{"budgets":[)";
@@ -372,7 +401,8 @@
     CLI::App app("capacity-benchmark: measures the figures of docs/CAPACITY.md");
     std::string part = "all";
     app.add_option("part", part,
-        "Part to run: gossip, convergence, storms, relay, processor, memory, platform or all");
+        "Part to run: gossip, convergence, storms, relay, quarantine, processor, memory, platform "
+        "or all");
     CLI11_PARSE(app, argc, argv);
     const auto isSelected = [&](const std::string &name) { return part == "all" || part == name; };
     if (isSelected("gossip"))
@@ -383,6 +413,8 @@
         measureStorms();
     if (isSelected("relay"))
         measureRelay();
+    if (isSelected("quarantine"))
+        measureQuarantine();
     if (isSelected("processor"))
         measureProcessorTime();
     if (isSelected("memory"))
