Ingress: Send nothing to a server that has said it leaves

Change: the header is decoded in platform/; ServerPool keeps the incarnation as leaving, through expired entries, until another incarnation is announced. Requests under way finish. Other instances are not told: the rule holds for each by itself, and the entry tells them.

Cost: a flag for each server and a search among at most 256 incarnations when an entry changes.

--- a/Libraries/Carawaykeel/Forwarding/KnownServer.h
+++ b/Libraries/Carawaykeel/Forwarding/KnownServer.h
@@ -19,6 +19,8 @@
 struct KnownServer
 {
     ServerEntry entry;
+    /// The server said in a response that it leaves.
+    bool hasSaidLeaving = false;
     /// Current number of requests of this instance at the server.
     int inFlight = 0;
     /// The last report of the server and its time.
--- a/Libraries/Carawaykeel/Forwarding/ResponseMetadata.h
+++ b/Libraries/Carawaykeel/Forwarding/ResponseMetadata.h
@@ -22,6 +22,8 @@
     std::string requestId;
     /// The server did not execute the request and never will.
     bool isNotExecuted = false;
+    /// The server leaves and takes no further requests.
+    bool isServerLeaving = false;
     /// The response carries the server's stamp. A successful response without it counts as invalid.
     bool hasServerStamp = false;
     std::optional<ReportedLoad> reportedLoad;
--- a/Libraries/Carawaykeel/Forwarding/ServerPool.cpp
+++ b/Libraries/Carawaykeel/Forwarding/ServerPool.cpp
@@ -3,10 +3,23 @@
 #include <algorithm>
 #include <cmath>
 #include <random>
+#include <utility>
 #include <xxhash.h>
 
 namespace Carawaykeel::Forwarding {
 
+namespace {
+
+bool isLeaving(const KnownServer &server)
+{
+    return server.entry.isLeaving || server.hasSaidLeaving;
+}
+
+/// More than leave at the same time in the largest fleets.
+constexpr std::size_t MaxLeavingIncarnations = 256;
+
+} // namespace
+
 ServerPool::ServerPool(
     Base::DataCentre ownDataCentre, const ServerSelectionPolicy &policy, Base::RandomEngine &random)
     : m_ownDataCentre(std::move(ownDataCentre))
@@ -23,6 +36,9 @@
     if (!isSameIncarnation)
         server = KnownServer();
     server.entry = entry;
+    const ServerIncarnation incarnation{entry.name, entry.startedAt};
+    server.hasSaidLeaving =
+        std::ranges::find(m_leavingIncarnations, incarnation) != m_leavingIncarnations.end();
 }
 
 void ServerPool::remove(const Base::ServerName &name)
@@ -30,6 +46,17 @@
     m_servers.erase(name);
 }
 
+bool ServerPool::onServerLeaving(const Base::ServerName &name)
+{
+    const auto it = m_servers.find(name);
+    if (it == m_servers.end() || std::exchange(it->second.hasSaidLeaving, true))
+        return false;
+    m_leavingIncarnations.push_back({name, it->second.entry.startedAt});
+    if (m_leavingIncarnations.size() > MaxLeavingIncarnations)
+        m_leavingIncarnations.pop_front();
+    return true;
+}
+
 const ServerEntry *ServerPool::findEntry(const Base::ServerName &name) const
 {
     const auto it = m_servers.find(name);
@@ -58,7 +85,7 @@
     std::vector<const KnownServer *> eligible;
     std::vector<const KnownServer *> notAvoided;
     for (const auto &[name, server] : m_servers) {
-        if (server.entry.service != hint.service || server.entry.isLeaving
+        if (server.entry.service != hint.service || isLeaving(server)
             || hint.triedServers.contains(name))
             continue;
         eligible.push_back(&server);
@@ -82,7 +109,7 @@
     const KnownServer *preferred = nullptr;
     std::uint64_t highest = 0;
     for (const auto &[name, server] : m_servers) {
-        if (server.entry.service != hint.service || server.entry.isLeaving)
+        if (server.entry.service != hint.service || isLeaving(server))
             continue;
         const auto hash = XXH64(name.text().data(), name.text().size(), part);
         if (!preferred || hash > highest) {
@@ -156,7 +183,7 @@
     const Base::ServiceName &service, const std::set<Base::ServerName> &triedServers) const
 {
     return std::ranges::any_of(m_servers, [&](const auto &item) {
-        return item.second.entry.service == service && !item.second.entry.isLeaving
+        return item.second.entry.service == service && !isLeaving(item.second)
             && !triedServers.contains(item.first);
     });
 }
@@ -242,7 +269,7 @@
 bool ServerPool::isUsable(const Base::ServerName &name) const
 {
     const auto it = m_servers.find(name);
-    return it != m_servers.end() && !it->second.entry.isLeaving;
+    return it != m_servers.end() && !isLeaving(it->second);
 }
 
 std::vector<KnownServer> ServerPool::servers() const
--- a/Libraries/Carawaykeel/Forwarding/ServerPool.h
+++ b/Libraries/Carawaykeel/Forwarding/ServerPool.h
@@ -5,6 +5,7 @@
 #include <Carawaykeel/Forwarding/RequestMetadata.h>
 #include <Carawaykeel/Forwarding/ServerBacklog.h>
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -54,6 +55,15 @@
     std::set<Base::ServerName> triedServers;
 };
 
+/// Identifies one life of a server.
+struct ServerIncarnation
+{
+    Base::ServerName name;
+    std::int64_t startedAt = 0;
+
+    bool operator==(const ServerIncarnation &) const = default;
+};
+
 /// The announced servers and the selection among them.
 class ServerPool
 {
@@ -66,6 +76,11 @@
     /// Removes a server that is no longer announced.
     void remove(const Base::ServerName &name);
 
+    /// Records that a server has said in a response that it leaves. It is not selected any more,
+    /// whatever its entry says, until another incarnation is announced. Returns false if that was
+    /// known.
+    bool onServerLeaving(const Base::ServerName &name);
+
     /// Returns the entry of a server; null when it is not announced.
     const ServerEntry *findEntry(const Base::ServerName &name) const;
 
@@ -115,6 +130,9 @@
     const ServerSelectionPolicy m_policy;
     Base::RandomEngine &m_random;
     std::map<Base::ServerName, KnownServer> m_servers;
+    /// The latest incarnations that said in a response that they leave, the newest last. Kept apart
+    /// from the servers, since an entry can expire and come back.
+    std::deque<ServerIncarnation> m_leavingIncarnations;
 };
 
 } // namespace Carawaykeel::Forwarding
--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -160,6 +160,10 @@
     Http::removeFramingFields(*m_response.head);
     if (metadata.reportedLoad)
         m_context.serverPool.onLoadReport(m_server, *metadata.reportedLoad, m_lastActivityAt);
+    if (metadata.isServerLeaving && m_context.serverPool.onServerLeaving(m_server)) {
+        m_context.log.info(Logging::LogEvent::ServerLeavingAnswered,
+            Logging::LogFields().add("server", m_server.text()).add("id", m_requestMetadata.id));
+    }
     m_mayHaveRun = m_mayHaveRun || !metadata.isNotExecuted;
 }
 
--- a/Libraries/Carawaykeel/Logging/LogEvent.cpp
+++ b/Libraries/Carawaykeel/Logging/LogEvent.cpp
@@ -51,6 +51,8 @@
         return "server_entry_removed";
     case LogEvent::ServerLeavingRelayed:
         return "server_leaving_relayed";
+    case LogEvent::ServerLeavingAnswered:
+        return "server_leaving_answered";
     case LogEvent::ServerListDelivered:
         return "server_list_delivered";
     case LogEvent::ServerListReached:
--- a/Libraries/Carawaykeel/Logging/LogEvent.h
+++ b/Libraries/Carawaykeel/Logging/LogEvent.h
@@ -29,6 +29,7 @@
     PromptPartSound,
     ServerEntryRemoved,
     ServerLeavingRelayed,
+    ServerLeavingAnswered,
     ServerListDelivered,
     ServerListReached,
     ServerListLost,
--- a/Tests/Forwarding/ServerPoolTest.cpp
+++ b/Tests/Forwarding/ServerPoolTest.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(frequentPromptIsSpreadOverServers);
     CPPUNIT_TEST(leavingAndTriedServersAreNotSelected);
     CPPUNIT_TEST(localServerIsPreferredUntilItIsLoaded);
+    CPPUNIT_TEST(serverThatSaysItLeavesIsNotSelected);
     CPPUNIT_TEST(failingServerIsAvoidedTemporarily);
     CPPUNIT_TEST(avoidedServerIsSelectedWhenAllAreAvoided);
     CPPUNIT_TEST(newIncarnationStartsWithoutState);
@@ -114,6 +115,31 @@
         CPPUNIT_ASSERT(pool.selectServer({Service, {}, {}}, Now)->entry.name == makeEntry(0).name);
     }
 
+    /// What a server says of itself stands against its entry, also when the entry expires and comes
+    /// back; another incarnation is another server.
+    void serverThatSaysItLeavesIsNotSelected()
+    {
+        addServers(2);
+        CPPUNIT_ASSERT(pool.onServerLeaving(makeEntry(0).name));
+        CPPUNIT_ASSERT(!pool.onServerLeaving(makeEntry(0).name));
+        CPPUNIT_ASSERT(!pool.onServerLeaving(makeEntry(7).name));
+        const auto requireExcluded = [&] {
+            CPPUNIT_ASSERT(!pool.isUsable(makeEntry(0).name));
+            CPPUNIT_ASSERT(!pool.hasUntriedServer(Service, {makeEntry(1).name}));
+            CPPUNIT_ASSERT(!pool.selectServer({Service, {}, {makeEntry(1).name}}, Now));
+        };
+        requireExcluded();
+        pool.addOrUpdate(makeEntry(0));
+        requireExcluded();
+        pool.remove(makeEntry(0).name);
+        pool.addOrUpdate(makeEntry(0));
+        requireExcluded();
+        auto restarted = makeEntry(0);
+        ++restarted.startedAt;
+        pool.addOrUpdate(restarted);
+        CPPUNIT_ASSERT(pool.isUsable(makeEntry(0).name));
+    }
+
     void failingServerIsAvoidedTemporarily()
     {
         addServers(2);
--- a/Tests/Platform/DecoderTest.cpp
+++ b/Tests/Platform/DecoderTest.cpp
@@ -162,6 +162,11 @@
         CPPUNIT_ASSERT_EQUAL(8, metadata.reportedLoad->slots);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(7'000), metadata.idleTimeout->count());
         CPPUNIT_ASSERT(!metadata.isNotExecuted && !metadata.hasServerStamp);
+        CPPUNIT_ASSERT(!metadata.isServerLeaving);
+        head.set("Server-Leaving", "yes");
+        CPPUNIT_ASSERT(!dialect.readResponse(head).isServerLeaving);
+        head.set("Server-Leaving", "1");
+        CPPUNIT_ASSERT(dialect.readResponse(head).isServerLeaving);
         head.setStatus(Poco::Net::HTTPResponse::HTTP_MISDIRECTED_REQUEST);
         CPPUNIT_ASSERT(dialect.readResponse(head).isNotExecuted);
     }
