--- a/Libraries/Carawaykeel/Forwarding/PromptQuarantine.cpp
+++ b/Libraries/Carawaykeel/Forwarding/PromptQuarantine.cpp
@@ -183,16 +183,16 @@
 std::vector<PromptReport> PromptQuarantine::quarantineUnambiguousParts(Base::Milliseconds now)
 {
     std::vector<PromptReport> quarantined;
-    for (auto &[part, suspect] : m_suspects) {
+    for (auto &item : m_suspects) {
+        auto &suspect = item.second;
         if (isQuarantined(suspect, now) || !isBlamed(suspect, now))
             continue;
-        const bool isAmbiguous = std::ranges::any_of(m_suspects, [&, id = part](const auto &other) {
-            return other.first != id && explains(other.second, suspect);
-        });
+        const bool isAmbiguous = std::ranges::any_of(m_suspects,
+            [&](const auto &other) { return &other != &item && explains(other.second, suspect); });
         if (isAmbiguous)
             continue;
         suspect.quarantinedAt = now;
-        quarantined.push_back({part, PromptVerdict::Quarantined, {}});
+        quarantined.push_back({item.first, PromptVerdict::Quarantined, {}});
     }
     for (const auto &report : quarantined)
         forgetExplainedCrashes(report.part);
--- a/Tests/Ingress/QuarantineStoreTest.cpp
+++ b/Tests/Ingress/QuarantineStoreTest.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-using Forwarding::PromptReport;
 using Forwarding::PromptVerdict;
 using Ingress::QuarantineStore;
 
