Ingress: Send nothing to a server for as long as it asks

New term of the users: a server that turns a request away with 503 may add Retry-After, and at most two requests may reach it from an instance until that time ends (BUDGET). Until now it was only avoided after three failures in a row; in the new test it got 6 of 10 requests in a second.

Change: the header is decoded in platform/ (seconds, also fractions; a date, a text, zero and negative numbers count as absent). ServerPool selects the server neither for requests nor for retries until the end by the monotonic clock, at most a minute; the pause outlasts an expired entry and ends with the incarnation. If all servers pause, requests are rejected at once, as not executed, with the earliest end plus up to half of it as their Retry-After.

ServerPoolTest and DecoderTest have the bounds and bad input.

--- a/Libraries/Carawaykeel/Forwarding/KnownServer.h
+++ b/Libraries/Carawaykeel/Forwarding/KnownServer.h
@@ -35,6 +35,8 @@
     /// Exponential moving average of the share of failed attempts, from 0 to 1.
     double failureRate = 0;
     int consecutiveFailures = 0;
+    /// The server wants no requests before this time.
+    Base::Milliseconds pausedUntil;
     /// The server is not selected before this time, unless all eligible servers are avoided.
     Base::Milliseconds avoidedUntil;
     Base::Milliseconds avoidanceTime;
--- a/Libraries/Carawaykeel/Forwarding/ResponseMetadata.h
+++ b/Libraries/Carawaykeel/Forwarding/ResponseMetadata.h
@@ -24,6 +24,8 @@
     bool isNotExecuted = false;
     /// The server leaves and takes no further requests.
     bool isServerLeaving = false;
+    /// How long the server wants no further requests from this instance.
+    std::optional<Base::Milliseconds> retryAfter;
     /// The response carries the server's stamp. A successful response without it counts as invalid.
     bool hasServerStamp = false;
     std::optional<ReportedLoad> reportedLoad;
--- a/Libraries/Carawaykeel/Forwarding/ServerPool.cpp
+++ b/Libraries/Carawaykeel/Forwarding/ServerPool.cpp
@@ -39,6 +39,9 @@
     const ServerIncarnation incarnation{entry.name, entry.startedAt};
     server.hasSaidLeaving =
         std::ranges::find(m_leavingIncarnations, incarnation) != m_leavingIncarnations.end();
+    const auto pause = m_pauses.find(entry.name);
+    if (pause != m_pauses.end() && pause->second.serverStartedAt == entry.startedAt)
+        server.pausedUntil = pause->second.until;
 }
 
 void ServerPool::remove(const Base::ServerName &name)
@@ -85,7 +88,7 @@
     std::vector<const KnownServer *> eligible;
     std::vector<const KnownServer *> notAvoided;
     for (const auto &[name, server] : m_servers) {
-        if (server.entry.service != hint.service || isLeaving(server)
+        if (server.entry.service != hint.service || isLeaving(server) || server.pausedUntil > now
             || hint.triedServers.contains(name))
             continue;
         eligible.push_back(&server);
@@ -179,15 +182,43 @@
     return best;
 }
 
-bool ServerPool::hasUntriedServer(
-    const Base::ServiceName &service, const std::set<Base::ServerName> &triedServers) const
+bool ServerPool::hasUntriedServer(const Base::ServiceName &service,
+    const std::set<Base::ServerName> &triedServers, Base::Milliseconds now) const
 {
     return std::ranges::any_of(m_servers, [&](const auto &item) {
-        return item.second.entry.service == service && !isLeaving(item.second)
-            && !triedServers.contains(item.first);
+        const auto &[name, server] = item;
+        return server.entry.service == service && !isLeaving(server) && server.pausedUntil <= now
+            && !triedServers.contains(name);
     });
 }
 
+Base::Milliseconds ServerPool::onServerPaused(
+    const Base::ServerName &name, Base::Milliseconds duration, Base::Milliseconds now)
+{
+    std::erase_if(m_pauses, [now](const auto &item) { return item.second.until <= now; });
+    const auto it = m_servers.find(name);
+    if (it == m_servers.end())
+        return now;
+    auto &server = it->second;
+    server.pausedUntil = std::max(server.pausedUntil, now + std::min(duration, MaxServerPause));
+    m_pauses[name] = {server.entry.startedAt, server.pausedUntil};
+    return server.pausedUntil;
+}
+
+std::optional<Base::Milliseconds> ServerPool::timeUntilUnpaused(
+    const Base::ServiceName &service, Base::Milliseconds now) const
+{
+    std::optional<Base::Milliseconds> earliest;
+    for (const auto &[name, server] : m_servers) {
+        if (server.entry.service != service || isLeaving(server))
+            continue;
+        earliest = std::min(earliest.value_or(server.pausedUntil), server.pausedUntil);
+    }
+    if (!earliest || *earliest <= now)
+        return std::nullopt;
+    return *earliest - now;
+}
+
 Base::Tokens ServerPool::onRequestSent(
     const Base::ServerName &name, std::span<const PromptPart> prompt, Base::Milliseconds now)
 {
--- a/Libraries/Carawaykeel/Forwarding/ServerPool.h
+++ b/Libraries/Carawaykeel/Forwarding/ServerPool.h
@@ -68,6 +68,9 @@
 class ServerPool
 {
 public:
+    /// A server that asks for a longer pause is tried again after this time.
+    static constexpr Base::Milliseconds MaxServerPause{60'000};
+
     ServerPool(Base::DataCentre ownDataCentre, const ServerSelectionPolicy &policy,
         Base::RandomEngine &random);
 
@@ -81,6 +84,16 @@
     /// known.
     bool onServerLeaving(const Base::ServerName &name);
 
+    /// Records that a server wants no requests for some time, at most MaxServerPause. Returns the
+    /// time until which it gets none.
+    Base::Milliseconds onServerPaused(
+        const Base::ServerName &name, Base::Milliseconds duration, Base::Milliseconds now);
+
+    /// Returns the time from now until a server of the service takes requests again, if all that do
+    /// not leave have paused.
+    std::optional<Base::Milliseconds> timeUntilUnpaused(
+        const Base::ServiceName &service, Base::Milliseconds now) const;
+
     /// Returns the entry of a server; null when it is not announced.
     const ServerEntry *findEntry(const Base::ServerName &name) const;
 
@@ -92,9 +105,10 @@
     /// Its other work is included as an equivalent number of tokens.
     std::int64_t tokensAhead(const KnownServer &server, Base::Milliseconds now) const;
 
-    /// Returns true when the service has a server that is not leaving and not in the set.
-    bool hasUntriedServer(
-        const Base::ServiceName &service, const std::set<Base::ServerName> &triedServers) const;
+    /// Returns true when the service has a server that neither leaves nor has paused and is not in
+    /// the set.
+    bool hasUntriedServer(const Base::ServiceName &service,
+        const std::set<Base::ServerName> &triedServers, Base::Milliseconds now) const;
 
     /// Records that a request is sent to a server. Returns the estimated tokens that the server has
     /// to process; they count as its backlog until onPromptProcessed().
@@ -118,6 +132,12 @@
     std::vector<KnownServer> servers() const;
 
 private:
+    struct Pause
+    {
+        std::int64_t serverStartedAt = 0;
+        Base::Milliseconds until;
+    };
+
     double estimatedRequestsAt(const KnownServer &server, Base::Milliseconds now) const;
     double loadOf(const KnownServer &server, Base::Milliseconds now) const;
     const KnownServer *preferredServer(const ServerSelectionHint &hint) const;
@@ -133,6 +153,8 @@
     /// The latest incarnations that said in a response that they leave, the newest last. Kept apart
     /// from the servers, since an entry can expire and come back.
     std::deque<ServerIncarnation> m_leavingIncarnations;
+    /// Pauses that last, by server, also while its entry has expired.
+    std::map<Base::ServerName, Pause> m_pauses;
 };
 
 } // namespace Carawaykeel::Forwarding
--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -89,7 +89,7 @@
         if (!server) {
             return fail(
                 {m_mayHaveRun ? Base::ErrorKind::ServerFailed : Base::ErrorKind::NoServerAvailable,
-                    "no server is left to try", NoServerRetryAfter});
+                    "no server is left to try", noServerRetryAfter()});
         }
         m_server = server->entry.name;
         m_triedServers.insert(m_server);
@@ -133,7 +133,7 @@
                 return self->startInactivityTimer();
             const bool canRetry = self->m_sentAttempts < self->m_route.maxAttempts
                 && self->m_context.serverPool.hasUntriedServer(
-                    self->m_service, self->m_triedServers)
+                    self->m_service, self->m_triedServers, self->m_context.reactor.now())
                 && self->m_context.retryBudget.remainingRetries(
                        self->m_service, self->m_context.reactor.now())
                     > 0;
@@ -164,6 +164,15 @@
         m_context.log.info(Logging::LogEvent::ServerLeavingAnswered,
             Logging::LogFields().add("server", m_server.text()).add("id", m_requestMetadata.id));
     }
+    if (metadata.isNotExecuted && metadata.retryAfter) {
+        const auto pausedUntil =
+            m_context.serverPool.onServerPaused(m_server, *metadata.retryAfter, m_lastActivityAt);
+        m_context.log.info(Logging::LogEvent::ServerPaused,
+            Logging::LogFields()
+                .add("server", m_server.text())
+                .add("asked_ms", metadata.retryAfter->count())
+                .add("ms", (pausedUntil - m_lastActivityAt).count()));
+    }
     m_mayHaveRun = m_mayHaveRun || !metadata.isNotExecuted;
 }
 
@@ -310,7 +319,7 @@
     state.hasResponseStarted = m_hasStreamStarted;
     state.hasRetryBudget = m_context.retryBudget.remainingRetries(m_service, now) > 0;
     state.hasOtherServer = remainingTime() > MinTimeForAttempt
-        && m_context.serverPool.hasUntriedServer(m_service, m_triedServers);
+        && m_context.serverPool.hasUntriedServer(m_service, m_triedServers, now);
     const auto decision = Forwarding::decideAfterAttempt(m_route, state);
     m_context.log.info(Logging::LogEvent::AttemptFailed,
         Logging::LogFields()
@@ -336,7 +345,7 @@
     case Forwarding::NextStep::Fail:
         break;
     }
-    fail({decision.kind, "", NoServerRetryAfter});
+    fail({decision.kind, "", noServerRetryAfter()});
 }
 
 void Exchange::abortStream(std::string_view outcome)
--- a/Libraries/Carawaykeel/Ingress/Exchange.h
+++ b/Libraries/Carawaykeel/Ingress/Exchange.h
@@ -60,6 +60,7 @@
 
     Base::Result<void> tryAdmit();
     static Base::Failure quarantineFailure();
+    Base::Milliseconds noServerRetryAfter() const;
     bool isStream() const { return m_route.kind == Forwarding::RouteKind::Stream; }
     bool isSuccess() const;
     bool isBrokenOff() const;
--- a/Libraries/Carawaykeel/Ingress/ExchangeAdmission.cpp
+++ b/Libraries/Carawaykeel/Ingress/ExchangeAdmission.cpp
@@ -26,6 +26,16 @@
         QuarantineRetryAfter};
 }
 
+Base::Milliseconds Exchange::noServerRetryAfter() const
+{
+    const auto pause = m_context.serverPool.timeUntilUnpaused(m_service, m_context.reactor.now());
+    if (!pause)
+        return NoServerRetryAfter;
+    // Spreads the callers that come back, so that the server does not meet all of them at once.
+    std::uniform_int_distribution<std::int64_t> jitter(0, pause->count() / 2);
+    return *pause + Base::Milliseconds(jitter(m_context.random));
+}
+
 Base::Result<void> Exchange::tryAdmit()
 {
     BOOST_LEAF_ASSIGN(m_requestMetadata, m_context.dialect.tryReadRequest(*m_head));
@@ -60,9 +70,9 @@
     if (m_tokensPerEvent == 0)
         m_priority.reset();
     m_timeout = std::min(m_route.timeout, m_requestMetadata.timeout.value_or(m_route.timeout));
-    if (!m_context.serverPool.hasUntriedServer(m_service, m_triedServers)) {
+    if (!m_context.serverPool.hasUntriedServer(m_service, m_triedServers, m_startedAt)) {
         return boost::leaf::new_error(Base::Failure{
-            Base::ErrorKind::NoServerAvailable, "no server is announced", NoServerRetryAfter});
+            Base::ErrorKind::NoServerAvailable, "no server takes requests", noServerRetryAfter()});
     }
     m_context.dialect.removeReservedHeaders(*m_head);
     Http::removeHopByHopFields(*m_head);
--- a/Libraries/Carawaykeel/Logging/LogEvent.cpp
+++ b/Libraries/Carawaykeel/Logging/LogEvent.cpp
@@ -53,6 +53,8 @@
         return "server_leaving_relayed";
     case LogEvent::ServerLeavingAnswered:
         return "server_leaving_answered";
+    case LogEvent::ServerPaused:
+        return "server_paused";
     case LogEvent::ServerListDelivered:
         return "server_list_delivered";
     case LogEvent::ServerListReached:
--- a/Libraries/Carawaykeel/Logging/LogEvent.h
+++ b/Libraries/Carawaykeel/Logging/LogEvent.h
@@ -30,6 +30,7 @@
     ServerEntryRemoved,
     ServerLeavingRelayed,
     ServerLeavingAnswered,
+    ServerPaused,
     ServerListDelivered,
     ServerListReached,
     ServerListLost,
--- a/Tests/Forwarding/ServerPoolTest.cpp
+++ b/Tests/Forwarding/ServerPoolTest.cpp
@@ -41,6 +41,9 @@
     CPPUNIT_TEST(leavingAndTriedServersAreNotSelected);
     CPPUNIT_TEST(localServerIsPreferredUntilItIsLoaded);
     CPPUNIT_TEST(serverThatSaysItLeavesIsNotSelected);
+    CPPUNIT_TEST(serverThatPausesIsSelectedAgainAtTheEnd);
+    CPPUNIT_TEST(pauseEndsWithTheIncarnation);
+    CPPUNIT_TEST(timeUntilUnpausedIsTheShortestAndBounded);
     CPPUNIT_TEST(failingServerIsAvoidedTemporarily);
     CPPUNIT_TEST(avoidedServerIsSelectedWhenAllAreAvoided);
     CPPUNIT_TEST(newIncarnationStartsWithoutState);
@@ -102,7 +105,7 @@
                 == makeEntry(1).name);
         }
         CPPUNIT_ASSERT(!pool.selectServer({Service, {}, {makeEntry(1).name}}, Now));
-        CPPUNIT_ASSERT(!pool.hasUntriedServer(Service, {makeEntry(1).name}));
+        CPPUNIT_ASSERT(!pool.hasUntriedServer(Service, {makeEntry(1).name}, Now));
         CPPUNIT_ASSERT(!pool.selectServer({Base::ServiceName("other"), {}, {}}, Now));
     }
 
@@ -125,7 +128,7 @@
         CPPUNIT_ASSERT(!pool.onServerLeaving(makeEntry(7).name));
         const auto requireExcluded = [&] {
             CPPUNIT_ASSERT(!pool.isUsable(makeEntry(0).name));
-            CPPUNIT_ASSERT(!pool.hasUntriedServer(Service, {makeEntry(1).name}));
+            CPPUNIT_ASSERT(!pool.hasUntriedServer(Service, {makeEntry(1).name}, Now));
             CPPUNIT_ASSERT(!pool.selectServer({Service, {}, {makeEntry(1).name}}, Now));
         };
         requireExcluded();
@@ -140,6 +143,42 @@
         CPPUNIT_ASSERT(pool.isUsable(makeEntry(0).name));
     }
 
+    void serverThatPausesIsSelectedAgainAtTheEnd()
+    {
+        addServers(2);
+        const Base::Milliseconds pause(2'000);
+        const std::set<Base::ServerName> other{makeEntry(1).name};
+        pool.onServerPaused(makeEntry(0).name, pause, Now);
+        // Neither a later update nor a shorter pause ends it.
+        pool.onServerPaused(makeEntry(0).name, Base::Milliseconds(1), Now);
+        pool.remove(makeEntry(0).name);
+        pool.addOrUpdate(makeEntry(0));
+        const auto last = Now + pause - Base::Milliseconds(1);
+        CPPUNIT_ASSERT(!pool.selectServer({Service, {}, other}, last));
+        CPPUNIT_ASSERT(!pool.hasUntriedServer(Service, other, last));
+        CPPUNIT_ASSERT(pool.selectServer({Service, {}, other}, Now + pause));
+    }
+
+    void pauseEndsWithTheIncarnation()
+    {
+        addServers(1);
+        pool.onServerPaused(makeEntry(0).name, Base::Milliseconds(2'000), Now);
+        auto restarted = makeEntry(0);
+        ++restarted.startedAt;
+        pool.addOrUpdate(restarted);
+        CPPUNIT_ASSERT(pool.selectServer({Service, {}, {}}, Now));
+    }
+
+    void timeUntilUnpausedIsTheShortestAndBounded()
+    {
+        addServers(2);
+        pool.onServerPaused(makeEntry(0).name, Base::Milliseconds(86'400'000), Now);
+        CPPUNIT_ASSERT(!pool.timeUntilUnpaused(Service, Now));
+        pool.onServerPaused(makeEntry(1).name, Base::Milliseconds(86'400'000), Now);
+        CPPUNIT_ASSERT(
+            pool.timeUntilUnpaused(Service, Now) == Forwarding::ServerPool::MaxServerPause);
+    }
+
     void failingServerIsAvoidedTemporarily()
     {
         addServers(2);
--- a/Tests/Platform/DecoderTest.cpp
+++ b/Tests/Platform/DecoderTest.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(mutatedDocumentsNeverThrow);
     CPPUNIT_TEST(requestHeadersAreParsed);
     CPPUNIT_TEST(responseHeadersAreParsed);
+    CPPUNIT_TEST(serversRetryAfterIsParsed);
     CPPUNIT_TEST(exhaustedBudgetIsPaymentRequired);
     CPPUNIT_TEST_SUITE_END();
 
@@ -171,6 +172,22 @@
         CPPUNIT_ASSERT(dialect.readResponse(head).isNotExecuted);
     }
 
+    void serversRetryAfterIsParsed()
+    {
+        Poco::Net::HTTPResponse head(Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+        const auto read = [&](const std::string &text) {
+            head.set("Retry-After", text);
+            return dialect.readResponse(head).retryAfter;
+        };
+        CPPUNIT_ASSERT(read("2") == Base::Milliseconds(2'000));
+        CPPUNIT_ASSERT(read("0.25") == Base::Milliseconds(250));
+        for (const auto *text :
+            {"", "0", "-1", "soon", "nan", "1e300", "Wed, 21 Oct 2026 07:28:00 GMT"})
+            CPPUNIT_ASSERT_MESSAGE(text, !read(text));
+        head.setStatus(Poco::Net::HTTPResponse::HTTP_TOO_MANY_REQUESTS);
+        CPPUNIT_ASSERT(!read("2"));
+    }
+
     void exhaustedBudgetIsPaymentRequired()
     {
         CPPUNIT_ASSERT_EQUAL(402, dialect.httpStatusOf(Base::ErrorKind::BudgetExhausted));
