--- a/Libraries/Carawaykeel/Configuration/ConfigurationRelay.cpp
+++ b/Libraries/Carawaykeel/Configuration/ConfigurationRelay.cpp
@@ -29,12 +29,10 @@
     if (local.hasDirectSource && now - m_outdatedSince->at < m_policy.directSourceDelay)
         return false;
     const bool isFetchPending =
-        m_lastFetch && m_lastFetch->localVersion == local.version && now < m_fetchDeadline;
+        m_lastFetch && m_lastFetch->localVersion == local.version && now < m_lastFetch->deadline;
     if (isFetchPending)
         return false;
-    m_lastFetch = {now, local.version};
-    m_fetchDeadline = now + m_policy.fetchTimeout;
-    m_fetchedFrom = from;
+    m_lastFetch = {from, local.version, now + m_policy.fetchTimeout};
     m_peers.send(from, Peer::FetchConfiguration{local.version});
     return true;
 }
@@ -62,8 +60,10 @@
 
 void ConfigurationRelay::onFetchRefused(const Base::InstanceId &from)
 {
-    if (m_lastFetch && from == m_fetchedFrom)
-        m_fetchDeadline = std::min(m_fetchDeadline, m_scheduler.now() + m_policy.refusalDelay);
+    if (m_lastFetch && m_lastFetch->to == from) {
+        m_lastFetch->deadline =
+            std::min(m_lastFetch->deadline, m_scheduler.now() + m_policy.refusalDelay);
+    }
 }
 
 void ConfigurationRelay::offer(const Base::InstanceId &to, std::uint64_t localVersion)
--- a/Libraries/Carawaykeel/Configuration/ConfigurationRelay.h
+++ b/Libraries/Carawaykeel/Configuration/ConfigurationRelay.h
@@ -67,15 +67,21 @@
         std::uint64_t localVersion = 0;
     };
 
+    /// The last request that was sent. It is obsolete once another version is in force.
+    struct FetchRequest
+    {
+        Base::InstanceId to;
+        std::uint64_t localVersion = 0;
+        /// When the request counts as lost.
+        Base::Milliseconds deadline;
+    };
+
     Base::Scheduler &m_scheduler;
     Peer::PeerTransport &m_peers;
     const ConfigurationRelayPolicy m_policy;
     /// When this instance learned that its version is outdated.
     std::optional<Mark> m_outdatedSince;
-    std::optional<Mark> m_lastFetch;
-    /// When the last fetch request counts as lost.
-    Base::Milliseconds m_fetchDeadline;
-    Base::InstanceId m_fetchedFrom;
+    std::optional<FetchRequest> m_lastFetch;
     /// When the documents sent so far have left this instance at the assumed bandwidth.
     Base::Milliseconds m_sendingUntil;
     std::map<Base::InstanceName, Mark> m_lastOffers;
