Forwarding: Tell the age of a crash with the evidence

Found when reading the diff: instances repeat their evidence to each other every 2 s while they reject requests, and a receiver dated each crash at the moment of the report. After 1.5 s the same crash counted as another one, so evidence grew with each repetition and was answered with itself.

Reports carry the time since the crash. Evidence that is still needed is written again after half of its lifetime, and expired rows are removed by the next process that starts.

PromptQuarantineTest::repeatedEvidenceIsTheSameCrash fails without the age; QuarantineStoreTest::removedAndExpiredEvidenceIsNotLoaded checks the removal.

--- a/Libraries/Carawaykeel/Forwarding/PromptQuarantine.cpp
+++ b/Libraries/Carawaykeel/Forwarding/PromptQuarantine.cpp
@@ -17,7 +17,7 @@
     for (const auto part : parts) {
         if (isSound(part, now))
             continue;
-        reports.push_back({part, PromptVerdict::Suspected, server});
+        reports.push_back({part, PromptVerdict::Suspected, server, {}});
         recordCrash(part, {server, now});
     }
     std::ranges::copy(quarantineUnambiguousParts(now), std::back_inserter(reports));
@@ -30,7 +30,7 @@
     std::vector<PromptReport> reports;
     for (const auto part : parts) {
         if (m_suspects.contains(part))
-            reports.push_back({part, PromptVerdict::Sound, {}});
+            reports.push_back({part, PromptVerdict::Sound, {}, {}});
         markSound(part, now);
     }
     if (!reports.empty())
@@ -46,9 +46,9 @@
         if (report.verdict == PromptVerdict::Sound) {
             markSound(report.part, now);
         } else if (isSound(report.part, now)) {
-            replies.answered.push_back({report.part, PromptVerdict::Sound, {}});
+            replies.answered.push_back({report.part, PromptVerdict::Sound, {}, {}});
         } else if (report.verdict == PromptVerdict::Suspected) {
-            const bool isNew = recordCrash(report.part, {report.server, now});
+            const bool isNew = recordCrash(report.part, {report.server, now - report.age});
             const auto evidence = evidenceOf(report.part, now);
             // Evidence is not answered with evidence, since all of it is known here.
             if (isNew)
@@ -95,11 +95,11 @@
     if (it == m_suspects.end())
         return {};
     if (isQuarantined(it->second, now))
-        return {{part, PromptVerdict::Quarantined, {}}};
+        return {{part, PromptVerdict::Quarantined, {}, {}}};
     std::vector<PromptReport> evidence;
     if (isBlamed(it->second, now)) {
         for (const auto &crash : it->second.crashes)
-            evidence.push_back({part, PromptVerdict::Suspected, crash.server});
+            evidence.push_back({part, PromptVerdict::Suspected, crash.server, now - crash.at});
     }
     return evidence;
 }
@@ -192,7 +192,7 @@
         if (isAmbiguous)
             continue;
         suspect.quarantinedAt = now;
-        quarantined.push_back({item.first, PromptVerdict::Quarantined, {}});
+        quarantined.push_back({item.first, PromptVerdict::Quarantined, {}, {}});
     }
     for (const auto &report : quarantined)
         forgetExplainedCrashes(report.part);
--- a/Libraries/Carawaykeel/Forwarding/PromptReport.h
+++ b/Libraries/Carawaykeel/Forwarding/PromptReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Carawaykeel/Base/Identifier.h>
+#include <Carawaykeel/Base/Milliseconds.h>
 
 #include <cstdint>
 
@@ -23,13 +24,15 @@
     PromptVerdict verdict = PromptVerdict::Suspected;
     /// The server that crashed; set with Suspected only.
     Base::ServerName server;
+    /// Time since that crash.
+    Base::Milliseconds age;
 
     bool operator==(const PromptReport &) const = default;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(part, verdict, server);
+        archive(part, verdict, server, age);
     }
 };
 
--- a/Libraries/Carawaykeel/Ingress/PromptGuard.cpp
+++ b/Libraries/Carawaykeel/Ingress/PromptGuard.cpp
@@ -1,6 +1,7 @@
 #include <Carawaykeel/Ingress/PromptGuard.h>
 
 #include <fmt/core.h>
+#include <set>
 #include <utility>
 
 namespace Carawaykeel::Ingress {
@@ -43,7 +44,7 @@
 {
     m_store.load([this](const QuarantineStore::Evidence &evidence) {
         for (const auto &report : evidence) {
-            m_storedParts.insert(report.part);
+            m_storedParts[report.part] = m_reactor.now();
             logVerdict(report, "store");
         }
         m_quarantine.onReports(evidence, m_reactor.now());
@@ -58,6 +59,7 @@
     if (now - m_announcedAt >= AnnouncementInterval) {
         m_announcedAt = now;
         m_transport.sendToSome(knownReports());
+        renewStoredEvidence();
     }
     return true;
 }
@@ -112,11 +114,23 @@
         if (evidence.empty() && m_storedParts.erase(part) == 0)
             continue;
         if (!evidence.empty())
-            m_storedParts.insert(part);
+            m_storedParts[part] = m_reactor.now();
         m_store.save(part, std::move(evidence));
     }
 }
 
+void PromptGuard::renewStoredEvidence()
+{
+    const auto now = m_reactor.now();
+    for (auto &[part, storedAt] : m_storedParts) {
+        if (now - storedAt < QuarantineStore::Lifetime / 2)
+            continue;
+        storedAt = now;
+        if (auto evidence = m_quarantine.evidenceOf(part, now); !evidence.empty())
+            m_store.save(part, std::move(evidence));
+    }
+}
+
 void PromptGuard::publish(const std::vector<PromptReport> &reports)
 {
     for (const auto &report : reports)
--- a/Libraries/Carawaykeel/Ingress/PromptGuard.h
+++ b/Libraries/Carawaykeel/Ingress/PromptGuard.h
@@ -7,7 +7,7 @@
 #include <Carawaykeel/Ingress/ServerCrashDetector.h>
 #include <Carawaykeel/Logging/Logger.h>
 
-#include <set>
+#include <map>
 #include <span>
 #include <vector>
 
@@ -47,6 +47,7 @@
 private:
     void onServerCrashed(const Base::ServerName &server, std::span<const std::uint64_t> parts);
     void save(const std::vector<Forwarding::PromptReport> &reports);
+    void renewStoredEvidence();
     void publish(const std::vector<Forwarding::PromptReport> &reports);
     void logVerdict(const Forwarding::PromptReport &report, std::string_view source);
 
@@ -58,8 +59,9 @@
     ServerCrashDetector m_crashDetector;
     /// When other instances were last told which parts are quarantined here.
     Base::Milliseconds m_announcedAt;
-    /// Parts that the store has evidence against, as far as this instance knows.
-    std::set<std::uint64_t> m_storedParts;
+    /// Parts that the store has evidence against, as far as this instance knows, and when it was
+    /// stored.
+    std::map<std::uint64_t, Base::Milliseconds> m_storedParts;
 };
 
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/QuarantineStore.cpp
+++ b/Libraries/Carawaykeel/Ingress/QuarantineStore.cpp
@@ -71,8 +71,12 @@
                     [&] { return Platform::tryDecodeRow<QuarantineRow>(row.value); });
                 // A row of another version of this program is left out; the part is found again.
                 const auto *decoded = std::get_if<QuarantineRow>(&outcome);
-                if (!decoded || isExpired(*decoded, reply.serviceNow))
+                if (!decoded || decoded->evidence.empty())
                     continue;
+                if (isExpired(*decoded, reply.serviceNow)) {
+                    save(decoded->evidence.front().part, {});
+                    continue;
+                }
                 evidence.insert(evidence.end(), decoded->evidence.begin(), decoded->evidence.end());
             }
             callback(evidence);
--- a/Tests/Forwarding/PromptQuarantineTest.cpp
+++ b/Tests/Forwarding/PromptQuarantineTest.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(unrelatedCrashesQuarantineNothing);
     CPPUNIT_TEST(allInstancesLearnOfAQuarantine);
     CPPUNIT_TEST(restartedInstanceLearnsWhatCannotBeToldApart);
+    CPPUNIT_TEST(repeatedEvidenceIsTheSameCrash);
     CPPUNIT_TEST(otherInstancesContradictAWrongQuarantine);
     CPPUNIT_TEST(expiredQuarantineStartsAgainWithOneCrash);
     CPPUNIT_TEST(suspectsAreBounded);
@@ -61,7 +62,8 @@
         const auto reports = crash(quarantine, 3, {Deadly});
         CPPUNIT_ASSERT(quarantine.isRejected(Parts{First, Deadly}, m_now));
         CPPUNIT_ASSERT(!quarantine.isRejected(Parts{First}, m_now));
-        CPPUNIT_ASSERT(reports.back() == (PromptReport{Deadly, PromptVerdict::Quarantined, {}}));
+        CPPUNIT_ASSERT(
+            reports.back() == (PromptReport{Deadly, PromptVerdict::Quarantined, {}, {}}));
     }
 
     void crashSeenByManyCountsOnce()
@@ -70,7 +72,7 @@
         for (int n = 0; n < 5; ++n) {
             crash(quarantine, 1, {Deadly});
             quarantine.onReports(
-                std::vector<PromptReport>{{Deadly, PromptVerdict::Suspected, makeServer(1)}},
+                std::vector<PromptReport>{{Deadly, PromptVerdict::Suspected, makeServer(1), {}}},
                 m_now);
         }
         CPPUNIT_ASSERT(!quarantine.isRejected(Parts{Deadly}, m_now));
@@ -82,7 +84,7 @@
         crash(quarantine, 1, {First});
         crash(quarantine, 2, {First});
         const auto reports = quarantine.onResponded(Parts{First}, m_now);
-        CPPUNIT_ASSERT(reports.at(0) == (PromptReport{First, PromptVerdict::Sound, {}}));
+        CPPUNIT_ASSERT(reports.at(0) == (PromptReport{First, PromptVerdict::Sound, {}, {}}));
         m_now += PromptQuarantinePolicy().soundWindow;
         crash(quarantine, 3, {First});
         CPPUNIT_ASSERT(!quarantine.isRejected(Parts{First}, m_now));
@@ -163,6 +165,23 @@
         CPPUNIT_ASSERT(unaware.isRejected(Parts{Companion, Deadly}, m_now));
     }
 
+    /// Guards against evidence that grows as instances repeat it to each other.
+    void repeatedEvidenceIsTheSameCrash()
+    {
+        PromptQuarantine one;
+        PromptQuarantine two;
+        for (int n = 0; n < 3; ++n)
+            two.onReports(crash(one, n, {Companion, Deadly}), m_now);
+        const auto count = one.allEvidence(1'000, m_now).size();
+        for (int n = 0; n < 20; ++n) {
+            m_now += Base::Milliseconds(2'000);
+            CPPUNIT_ASSERT(two.onReports(one.allEvidence(1'000, m_now), m_now).answered.empty());
+            CPPUNIT_ASSERT(one.onReports(two.allEvidence(1'000, m_now), m_now).answered.empty());
+        }
+        CPPUNIT_ASSERT_EQUAL(count, one.allEvidence(1'000, m_now).size());
+        CPPUNIT_ASSERT_EQUAL(count, two.allEvidence(1'000, m_now).size());
+    }
+
     /// Guards against an instance that rejects sound requests for good because it saw three crashes
     /// and no response, for example just after all processes were restarted.
     void otherInstancesContradictAWrongQuarantine()
--- a/Tests/Ingress/QuarantineStoreTest.cpp
+++ b/Tests/Ingress/QuarantineStoreTest.cpp
@@ -15,7 +15,7 @@
 using Ingress::QuarantineStore;
 
 constexpr std::uint64_t Part = 0xdead;
-const QuarantineStore::Evidence Quarantined{{Part, PromptVerdict::Quarantined, {}}};
+const QuarantineStore::Evidence Quarantined{{Part, PromptVerdict::Quarantined, {}, {}}};
 
 /// The store of one process.
 struct Process
@@ -100,13 +100,15 @@
         FakeTable table(world);
         Process process(world, table);
         process.store.save(Part, Quarantined);
-        process.store.save(Part + 1, {{Part + 1, PromptVerdict::Quarantined, {}}});
+        process.store.save(Part + 1, {{Part + 1, PromptVerdict::Quarantined, {}, {}}});
         world.run(Base::Milliseconds(1'000));
         process.store.save(Part, {});
         world.run(Base::Milliseconds(1'000));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), Process(world, table).load(world).value().size());
         world.run(QuarantineStore::Lifetime);
-        CPPUNIT_ASSERT(Process(world, table).load(world).value().empty());
+        Process late(world, table);
+        CPPUNIT_ASSERT(late.load(world).value().empty());
+        CPPUNIT_ASSERT(table.range("quarantine/").empty());
     }
 };
 
