--- a/Tests/Ingress/ServerRestrictionTest.cpp
+++ b/Tests/Ingress/ServerRestrictionTest.cpp
@@ -42,7 +42,7 @@
     return route;
 }
 
-/// Sends requests until the second server has had one, which its selection despite its load shows.
+/// Sends requests one after the other.
 void sendRequests(RouterHarness &router, int count)
 {
     for (int n = 0; n < count; ++n)
