Budget: Give a top-up more time than the table's circuit breaker pauses

Cause: a top-up gave up after 1,500 ms, as long as the longest delay between two probes of the circuit breaker. Right after an hour's partition a probe that was under way may still time out, and the next one comes later than the top-up waits. Ruled out: a lost count; the row was never written. Change: an operator's top-up has 5 s (the control tool waits 10 s for it); declared top-ups, which hold requests up, keep the shorter time.

--- a/Libraries/Carawaykeel/Budget/BudgetPolicy.h
+++ b/Libraries/Carawaykeel/Budget/BudgetPolicy.h
@@ -25,6 +25,9 @@
     std::size_t maxFlushBatch = 200;
     /// Timeout for acquiring a grant; the request is refused after it.
     Base::Milliseconds grantTimeout{1'500};
+    /// Timeout for an operator's top-up. Longer than the table's circuit breaker takes to notice
+    /// that the table is reachable again: one probe that times out and the delay until the next.
+    Base::Milliseconds topUpTimeout{5'000};
     /// Timeout for the replies to a recall.
     Base::Milliseconds recallTimeout{250};
     /// Rounds of recall before a request is refused because its budget is exhausted.
--- a/Libraries/Carawaykeel/Budget/TopUpWriter.cpp
+++ b/Libraries/Carawaykeel/Budget/TopUpWriter.cpp
@@ -30,24 +30,25 @@
     }
     if (missing.empty())
         return callback(true);
-    write(budget, std::move(missing), [callback](const Base::Outcome<BudgetRow> &outcome) {
-        const auto *failure = std::get_if<Base::Failure>(&outcome);
-        callback(!failure || failure->kind != Base::ErrorKind::PlatformUnreachable);
-    });
+    write(budget, std::move(missing), m_policy.grantTimeout,
+        [callback](const Base::Outcome<BudgetRow> &outcome) {
+            const auto *failure = std::get_if<Base::Failure>(&outcome);
+            callback(!failure || failure->kind != Base::ErrorKind::PlatformUnreachable);
+        });
 }
 
 void TopUpWriter::topUp(const Base::BudgetId &budget, const TopUpOrder &order,
     std::function<void(Base::Outcome<BudgetRow>)> callback)
 {
-    write(budget, {order}, std::move(callback));
+    write(budget, {order}, m_policy.topUpTimeout, std::move(callback));
 }
 
 void TopUpWriter::write(const Base::BudgetId &budget, std::vector<TopUpOrder> orders,
-    std::function<void(Base::Outcome<BudgetRow>)> callback)
+    Base::Milliseconds timeout, std::function<void(Base::Outcome<BudgetRow>)> callback)
 {
     read(std::make_shared<Operation>(Operation{budget, std::move(orders), std::move(callback),
         Base::ExponentialBackoff(m_policy.minBackoff, m_policy.maxBackoff),
-        m_context.scheduler.now() + m_policy.grantTimeout}));
+        m_context.scheduler.now() + timeout}));
 }
 
 void TopUpWriter::read(const OperationPointer &operation)
--- a/Libraries/Carawaykeel/Budget/TopUpWriter.h
+++ b/Libraries/Carawaykeel/Budget/TopUpWriter.h
@@ -68,7 +68,7 @@
     using OperationPointer = std::shared_ptr<Operation>;
 
     void write(const Base::BudgetId &budget, std::vector<TopUpOrder> orders,
-        std::function<void(Base::Outcome<BudgetRow>)> callback);
+        Base::Milliseconds timeout, std::function<void(Base::Outcome<BudgetRow>)> callback);
     void read(const OperationPointer &operation);
     void decide(const OperationPointer &operation, const Platform::RowsReply &reply);
     void retryLater(const OperationPointer &operation);
