Transport: Put all connections between instances on the reactor

Cause: each peer cost an instance two threads, one that sends and one that receives, and both stayed. Change: one thread serves all connections, in a folder of its own. Gossip is received on the same thread. The product's own daemon shares this; Fleet/EventLoop goes, a reactor runs its decisions. Frames are unchanged on the wire.

--- a/Libraries/Carawaykeel/Adapters/Daemon.cpp
+++ b/Libraries/Carawaykeel/Adapters/Daemon.cpp
@@ -48,18 +48,19 @@
     const auto &self = m_settings.instance.self;
     // The receivers run on the event loop's thread, where the instance is created below. They drop
     // messages that arrive earlier.
-    m_peerTransport = std::make_unique<TcpPeerTransport>(
-        self.id, self.peerAddress, m_settings.limits.frameBytes, m_codec, m_loop,
+    m_peerTransport = std::make_unique<Transport::TcpPeerTransport>(
+        self.id, self.peerAddress, m_settings.limits.frameBytes, m_codec, m_loop, m_log,
         [this](const Base::InstanceName &name) { return addressOf(name); },
         [this](const Peer::PeerEnvelope &envelope) {
             if (m_instance)
                 m_instance->onPeerMessage(envelope);
         });
-    m_gossipTransport = std::make_unique<UdpGossipTransport>(
+    m_gossipTransport = std::make_unique<Transport::UdpGossipTransport>(
         self.gossipAddress, m_codec, m_loop, [this](const Membership::GossipMessage &message) {
             if (m_instance)
                 m_instance->onGossip(message);
         });
+    m_loopThread.start();
     std::promise<void> instanceCreated;
     m_loop.post([&] {
         m_instance = std::make_unique<Instance::Instance>(m_settings.instance, m_loop, m_platform,
@@ -99,10 +100,10 @@
 {
     m_callerServer->stop();
     m_operatorServer.reset();
-    m_gossipTransport.reset();
     m_platform.stop();
     m_attemptLookup.stop();
-    m_loop.stop();
+    m_loopThread.stop();
+    m_gossipTransport.reset();
     m_peerTransport.reset();
 }
 
--- a/Libraries/Carawaykeel/Adapters/Daemon.h
+++ b/Libraries/Carawaykeel/Adapters/Daemon.h
@@ -6,13 +6,13 @@
 #include <Carawaykeel/Adapters/EngineAttemptLookup.h>
 #include <Carawaykeel/Adapters/OperatorServer.h>
 #include <Carawaykeel/Adapters/PlatformClient.h>
-#include <Carawaykeel/Adapters/TcpPeerTransport.h>
-#include <Carawaykeel/Adapters/UdpGossipTransport.h>
-#include <Carawaykeel/Fleet/EventLoop.h>
 #include <Carawaykeel/Fleet/InstanceBridge.h>
 #include <Carawaykeel/Instance/Instance.h>
 #include <Carawaykeel/Logging/Logger.h>
 #include <Carawaykeel/Logging/StreamLogSink.h>
+#include <Carawaykeel/Net/ReactorThread.h>
+#include <Carawaykeel/Transport/TcpPeerTransport.h>
+#include <Carawaykeel/Transport/UdpGossipTransport.h>
 
 #include <condition_variable>
 #include <memory>
@@ -54,14 +54,15 @@
     Logging::StreamLogSink m_logSink;
     Logging::Logger m_log;
     Peer::AuthenticatedCodec m_codec;
-    Fleet::EventLoop m_loop;
+    Net::ReactorThread m_loopThread;
+    Net::Reactor &m_loop = m_loopThread.reactor();
     PlatformClient m_platform;
     BackendClient m_backends;
     EngineAttemptLookup m_attemptLookup;
     CallerMetrics m_metrics;
     Fleet::RcuCell<Fleet::RoutingTable> m_table;
-    std::unique_ptr<TcpPeerTransport> m_peerTransport;
-    std::unique_ptr<UdpGossipTransport> m_gossipTransport;
+    std::unique_ptr<Transport::TcpPeerTransport> m_peerTransport;
+    std::unique_ptr<Transport::UdpGossipTransport> m_gossipTransport;
     std::unique_ptr<Instance::Instance> m_instance;
     std::unique_ptr<Fleet::InstanceBridge> m_bridge;
     std::unique_ptr<CallerContext> m_callerContext;
--- a/Libraries/Carawaykeel/Adapters/MetricsPage.h
+++ b/Libraries/Carawaykeel/Adapters/MetricsPage.h
@@ -2,9 +2,9 @@
 
 #include <Carawaykeel/Adapters/CallerMetrics.h>
 #include <Carawaykeel/Adapters/PlatformClient.h>
-#include <Carawaykeel/Adapters/TcpPeerTransport.h>
-#include <Carawaykeel/Adapters/UdpGossipTransport.h>
 #include <Carawaykeel/Instance/Instance.h>
+#include <Carawaykeel/Transport/TcpPeerTransport.h>
+#include <Carawaykeel/Transport/UdpGossipTransport.h>
 
 #include <string>
 
@@ -16,8 +16,8 @@
     Instance::Instance &instance;
     const CallerMetrics &callers;
     const PlatformClient &platform;
-    const TcpPeerTransport &peers;
-    const UdpGossipTransport &gossip;
+    const Transport::TcpPeerTransport &peers;
+    const Transport::UdpGossipTransport &gossip;
 };
 
 /// Returns all counters in the Prometheus text format, version 0.0.4. Called on the scheduler's
--- a/Libraries/Carawaykeel/Fleet/InstanceBridge.cpp
+++ b/Libraries/Carawaykeel/Fleet/InstanceBridge.cpp
@@ -22,9 +22,9 @@
 } // namespace
 
 InstanceBridge::InstanceBridge(
-    Instance::Instance &instance, EventLoop &loop, const RcuCell<RoutingTable> &table)
+    Instance::Instance &instance, Base::Scheduler &scheduler, const RcuCell<RoutingTable> &table)
     : m_instance(instance)
-    , m_loop(loop)
+    , m_scheduler(scheduler)
     , m_table(table)
 {
 }
@@ -33,9 +33,10 @@
 {
     auto promise = std::make_shared<AdmissionPromise>();
     auto future = promise->get_future();
-    m_loop.post([this, request = std::move(request), promise]() mutable {
-        m_instance.requestCoordinator().admit(std::move(request), makePromiseCallback(promise));
-    });
+    m_scheduler.schedule(
+        Base::Milliseconds(), [this, request = std::move(request), promise]() mutable {
+            m_instance.requestCoordinator().admit(std::move(request), makePromiseCallback(promise));
+        });
     return future.get();
 }
 
@@ -43,10 +44,11 @@
 {
     auto promise = std::make_shared<AdmissionPromise>();
     auto future = promise->get_future();
-    m_loop.post([this, admission = std::move(admission), promise]() mutable {
-        m_instance.requestCoordinator().redispatch(
-            std::move(admission), makePromiseCallback(promise));
-    });
+    m_scheduler.schedule(
+        Base::Milliseconds(), [this, admission = std::move(admission), promise]() mutable {
+            m_instance.requestCoordinator().redispatch(
+                std::move(admission), makePromiseCallback(promise));
+        });
     return future.get();
 }
 
@@ -55,24 +57,25 @@
 {
     auto promise = std::make_shared<std::promise<bool>>();
     auto future = promise->get_future();
-    m_loop.post([this, admission, completion = std::move(completion), promise]() mutable {
-        m_instance.requestCoordinator().complete(admission, std::move(completion),
-            [promise](bool isDurable) { promise->set_value(isDurable); });
-    });
+    m_scheduler.schedule(Base::Milliseconds(),
+        [this, admission, completion = std::move(completion), promise]() mutable {
+            m_instance.requestCoordinator().complete(admission, std::move(completion),
+                [promise](bool isDurable) { promise->set_value(isDurable); });
+        });
     const auto status = future.wait_for(std::chrono::milliseconds(timeout.count()));
     return status == std::future_status::ready && future.get();
 }
 
 void InstanceBridge::abandon(const Requests::Admission &admission, Routing::SlotResult result)
 {
-    m_loop.post(
+    m_scheduler.schedule(Base::Milliseconds(),
         [this, admission, result] { m_instance.requestCoordinator().abandon(admission, result); });
 }
 
 Base::RequestId InstanceBridge::issueRequestId(const Base::TeamId &team)
 {
     return callOnLoop<Base::RequestId>(
-        [&] { return m_instance.requestIdIssuer().issue(team, m_loop.now()); });
+        [&] { return m_instance.requestIdIssuer().issue(team, m_scheduler.now()); });
 }
 
 Instance::EntryInstances InstanceBridge::entryInstancesFor(const Base::TeamId &team)
@@ -82,12 +85,14 @@
 
 void InstanceBridge::updateReportedLoad(const Base::ServerName &server, double load)
 {
-    m_loop.post([this, server, load] { m_instance.dispatcher().updateReportedLoad(server, load); });
+    m_scheduler.schedule(Base::Milliseconds(),
+        [this, server, load] { m_instance.dispatcher().updateReportedLoad(server, load); });
 }
 
 void InstanceBridge::markServerLeaving(const Base::ServerName &server)
 {
-    m_loop.post([this, server] { m_instance.markServerLeaving(server); });
+    m_scheduler.schedule(
+        Base::Milliseconds(), [this, server] { m_instance.markServerLeaving(server); });
 }
 
 } // namespace Carawaykeel::Fleet
--- a/Libraries/Carawaykeel/Fleet/InstanceBridge.h
+++ b/Libraries/Carawaykeel/Fleet/InstanceBridge.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <Carawaykeel/Fleet/EventLoop.h>
+#include <Carawaykeel/Base/Scheduler.h>
 #include <Carawaykeel/Fleet/RcuCell.h>
 #include <Carawaykeel/Fleet/RoutingTable.h>
 #include <Carawaykeel/Instance/Instance.h>
@@ -8,13 +8,13 @@
 namespace Carawaykeel::Fleet {
 
 /// Gives the threads that handle callers' requests access to the instance. Look-ups read the
-/// routing table without a lock. Operations on the instance run on the event loop's thread; the
+/// routing table without a lock. Operations on the instance run on the scheduler's thread; the
 /// calling thread blocks where it needs the result.
 class InstanceBridge
 {
 public:
-    InstanceBridge(
-        Instance::Instance &instance, EventLoop &loop, const RcuCell<RoutingTable> &table);
+    InstanceBridge(Instance::Instance &instance, Base::Scheduler &scheduler,
+        const RcuCell<RoutingTable> &table);
 
     /// Calls the function with the current routing table and returns its result.
     template <typename Function>
@@ -43,7 +43,7 @@
     void updateReportedLoad(const Base::ServerName &server, double load);
     void markServerLeaving(const Base::ServerName &server);
 
-    /// Runs a function on the event loop's thread, blocks until it has run and returns its result.
+    /// Runs a function on the scheduler's thread, blocks until it has run and returns its result.
     template <typename Result>
     Result callOnLoop(std::function<Result()> function);
 
@@ -51,7 +51,7 @@
 
 private:
     Instance::Instance &m_instance;
-    EventLoop &m_loop;
+    Base::Scheduler &m_scheduler;
     const RcuCell<RoutingTable> &m_table;
 };
 
@@ -66,7 +66,7 @@
 {
     std::promise<Result> promise;
     auto future = promise.get_future();
-    m_loop.post([&] { promise.set_value(function()); });
+    m_scheduler.schedule(Base::Milliseconds(), [&] { promise.set_value(function()); });
     return future.get();
 }
 
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -72,7 +72,7 @@
     , m_promptGuard(reactor, m_promptReportTransport, m_quarantineStore, m_log)
     , m_serverConnections(reactor, m_dependencies.dialect)
     , m_peerTransport(
-          m_self.id, m_settings.peerAddress, MaxFrameBytes, m_codec, reactor,
+          m_self.id, m_settings.peerAddress, MaxFrameBytes, m_codec, reactor, m_log,
           [this](const Base::InstanceName &name) { return peerAddressOf(name); },
           [this](const Peer::PeerEnvelope &envelope) { onPeerMessage(envelope); })
     , m_allotments(
--- a/Libraries/Carawaykeel/Ingress/Router.h
+++ b/Libraries/Carawaykeel/Ingress/Router.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <Carawaykeel/Adapters/TcpPeerTransport.h>
-#include <Carawaykeel/Adapters/UdpGossipTransport.h>
 #include <Carawaykeel/Budget/AllotmentHolder.h>
 #include <Carawaykeel/Configuration/ConfigurationRelay.h>
 #include <Carawaykeel/Ingress/AllotmentLogger.h>
@@ -17,6 +15,8 @@
 #include <Carawaykeel/Logging/Logger.h>
 #include <Carawaykeel/Membership/Membership.h>
 #include <Carawaykeel/Peer/AuthenticatedCodec.h>
+#include <Carawaykeel/Transport/TcpPeerTransport.h>
+#include <Carawaykeel/Transport/UdpGossipTransport.h>
 
 #include <memory>
 
@@ -88,7 +88,7 @@
     PromptGuard m_promptGuard;
     RouterMetrics m_metrics;
     ServerConnectionPool m_serverConnections;
-    Adapters::TcpPeerTransport m_peerTransport;
+    Transport::TcpPeerTransport m_peerTransport;
     Budget::AllotmentHolder m_allotments;
     AllotmentLogger m_allotmentLogger;
     ExchangeContext m_context;
@@ -96,7 +96,7 @@
     ConfigurationSubscriber m_configurationSubscriber;
     Configuration::ConfigurationRelay m_configurationRelay;
     std::unique_ptr<Membership::Membership> m_membership;
-    Adapters::UdpGossipTransport m_gossipTransport;
+    Transport::UdpGossipTransport m_gossipTransport;
     ForwardHandler m_forwardHandler;
     EntryHandler m_entryHandler;
     CallerListener m_callerListener;
--- a/Libraries/Carawaykeel/Logging/LogEvent.cpp
+++ b/Libraries/Carawaykeel/Logging/LogEvent.cpp
@@ -77,6 +77,8 @@
         return "instance_missed";
     case LogEvent::PeerMessageUnexpected:
         return "peer_message_unexpected";
+    case LogEvent::PeerConnectionRefused:
+        return "peer_connection_refused";
     case LogEvent::MetricsUnavailable:
         return "metrics_unavailable";
     case LogEvent::LinesLeftOut:
--- a/Libraries/Carawaykeel/Logging/LogEvent.h
+++ b/Libraries/Carawaykeel/Logging/LogEvent.h
@@ -42,6 +42,7 @@
     AllotmentTableLost,
     InstanceMissed,
     PeerMessageUnexpected,
+    PeerConnectionRefused,
     MetricsUnavailable,
     LinesLeftOut,
 };
--- a/Tests/Support/NeighbourInstance.cpp
+++ b/Tests/Support/NeighbourInstance.cpp
@@ -33,8 +33,9 @@
     : m_self(makeMember(name))
     , m_receiver(std::move(receiver))
     , m_codec(peerKey)
+    , m_log(m_self.id, m_logSink)
     , m_peerTransport(
-          m_self.id, m_self.peerAddress, MaxFrameBytes, m_codec, m_reactor,
+          m_self.id, m_self.peerAddress, MaxFrameBytes, m_codec, m_reactor, m_log,
           [this](const Base::InstanceName &) { return m_receiver.peerAddress; },
           [this](const Peer::PeerEnvelope &envelope) {
               if (std::holds_alternative<Peer::FetchConfiguration>(envelope.message))
--- a/Tests/Support/NeighbourInstance.h
+++ b/Tests/Support/NeighbourInstance.h
@@ -1,9 +1,11 @@
 #pragma once
 
-#include <Carawaykeel/Adapters/TcpPeerTransport.h>
-#include <Carawaykeel/Adapters/UdpGossipTransport.h>
 #include <Carawaykeel/Membership/Member.h>
 #include <Carawaykeel/Net/Reactor.h>
+#include <Carawaykeel/Transport/TcpPeerTransport.h>
+#include <Carawaykeel/Transport/UdpGossipTransport.h>
+
+#include <Support/MemoryLogSink.h>
 
 #include <atomic>
 #include <string>
@@ -32,10 +34,12 @@
     const Membership::Member m_self;
     const Membership::Member m_receiver;
     const Peer::AuthenticatedCodec m_codec;
+    MemoryLogSink m_logSink;
+    const Logging::Logger m_log;
     Net::Reactor m_reactor;
     std::atomic<int> m_fetchRequestCount = 0;
-    Adapters::TcpPeerTransport m_peerTransport;
-    Adapters::UdpGossipTransport m_gossipTransport;
+    Transport::TcpPeerTransport m_peerTransport;
+    Transport::UdpGossipTransport m_gossipTransport;
     std::thread m_thread;
 };
 
