Platform: Call the table service on the reactor

Cause: blocking calls cost a VM a thread for its own table and one for each feed, and nothing told how many calls of which kind a VM makes. Change: Transport/HttpClient makes calls one after the other on the reactor, each with a time for silence and one for all of it, bounded replies and a bounded queue; a connection whose call failed is never used again. Both feeds and the router's table use it. Replies over 16 KB are decoded on one other thread, since a configuration of 420 KB would stop the reactor of a VM with 0.12 of a core. Weighed: decoding in steps, which the JSON library does not offer. StoreClient's pool and the feeds' threads go. Calls by kind, threads, descriptors, memory and peer connections are on the metrics page. Tests: HttpClientTest (silence, late and double replies, cut bodies, floods, full queue), StoreFeedTest.

--- a/Libraries/Carawaykeel/Ingress/Router.h
+++ b/Libraries/Carawaykeel/Ingress/Router.h
@@ -18,6 +18,7 @@
 #include <Carawaykeel/Transport/TcpPeerTransport.h>
 #include <Carawaykeel/Transport/UdpGossipTransport.h>
 
+#include <functional>
 #include <memory>
 
 namespace Carawaykeel::Ingress {
@@ -31,6 +32,8 @@
     ConfigurationSubscriber::Decoder configurationDecoder;
     /// Key of the configuration's row.
     std::string configurationKey;
+    /// Appends the metrics of the table service's client to the metrics page; may be empty.
+    std::function<void(Metrics::PrometheusWriter &writer)> writeTableMetrics;
 };
 
 /// One router process: accepts callers' requests and forwards them to backend servers. Everything
@@ -70,6 +73,7 @@
     void runMaintenance();
     void startMetricsListener();
     std::string metricsPage() const;
+    void writePeerMetrics(Metrics::PrometheusWriter &writer) const;
     void awaitActiveExchanges(Base::Milliseconds deadline);
     void returnTokens(Base::Milliseconds deadline);
 
--- a/Libraries/Carawaykeel/Ingress/RouterMetricsPage.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterMetricsPage.cpp
@@ -1,6 +1,8 @@
 // The part of Router that serves the metrics page.
 #include <Carawaykeel/Ingress/Router.h>
 
+#include <Carawaykeel/Metrics/ProcessUsage.h>
+
 #include <Poco/Exception.h>
 #include <algorithm>
 
@@ -53,7 +55,29 @@
         "Instances that the slack of repeats is divided by.",
         m_retryBudget.instanceCount().value_or(0));
     m_allotments.writeMetrics(writer);
+    writePeerMetrics(writer);
+    Metrics::writeProcessUsage(writer);
+    if (m_dependencies.writeTableMetrics)
+        m_dependencies.writeTableMetrics(writer);
     return writer.take();
 }
 
+void Router::writePeerMetrics(Metrics::PrometheusWriter &writer) const
+{
+    writer.writeGauge("peer_connections_out", "Connections that were opened to other instances.",
+        static_cast<std::int64_t>(m_peerTransport.outgoingCount()));
+    writer.writeGauge("peer_connections_in", "Connections that other instances opened.",
+        static_cast<std::int64_t>(m_peerTransport.incomingCount()));
+    writer.writeCounter(
+        "peer_messages_total", "Messages sent to other instances.", m_peerTransport.messagesSent());
+    writer.writeCounter("peer_messages_dropped_total",
+        "Messages to other instances that were dropped.", m_peerTransport.messagesDropped());
+    writer.writeCounter(
+        "gossip_bytes_total", "Bytes of datagrams sent.", m_gossipTransport.bytesSent());
+    writer.writeCounter(
+        "gossip_datagrams_total", "Datagrams sent.", m_gossipTransport.datagramsSent());
+    writer.writeCounter("malformed_total", "Malformed datagrams and frames.",
+        m_gossipTransport.malformed() + m_peerTransport.malformed());
+}
+
 } // namespace Carawaykeel::Ingress
--- a/Services/Carawaykeeld/RouterProcess.cpp
+++ b/Services/Carawaykeeld/RouterProcess.cpp
@@ -2,6 +2,7 @@
 
 #include "ExitCodes.h"
 
+#include <Carawaykeel/Adapters/WorkerPool.h>
 #include <Carawaykeel/Configuration/ValidationError.h>
 #include <Carawaykeel/Ingress/Router.h>
 #include <Carawaykeel/Ingress/RouterSettingsParser.h>
@@ -10,6 +11,7 @@
 #include <platform/ConfigurationDecoder.h>
 #include <platform/PlatformDialect.h>
 #include <platform/ServerEntryDecoder.h>
+#include <platform/StoreCallCounter.h>
 #include <platform/StoreClient.h>
 #include <platform/StoreFeed.h>
 #include <platform/WireNames.h>
@@ -32,6 +34,9 @@
 /// Time that the process waits at exit for the reader of its log.
 constexpr Base::Milliseconds FinalFlushTimeout{200};
 
+/// Maximum documents that wait for the decoding thread; each feed has at most one.
+constexpr std::size_t MaxQueuedDocuments = 8;
+
 namespace Names = CarawaykeelPlatform::WireNames;
 
 void handleSignals(const sigset_t &signals, Net::Reactor &reactor, Ingress::Router &router,
@@ -61,15 +66,19 @@
 
     Net::Reactor reactor;
     const CarawaykeelPlatform::PlatformDialect dialect;
-    CarawaykeelPlatform::StoreClient store(settings.tableAddress, settings.tableTimeout, reactor);
+    CarawaykeelPlatform::StoreCallCounter tableCalls;
+    CarawaykeelPlatform::StoreClient store(
+        settings.tableAddress, settings.tableTimeout, reactor, tableCalls);
     Ingress::Router router(settings, reactor,
         {dialect, store, CarawaykeelPlatform::tryDecodeServerEntry,
-            CarawaykeelPlatform::tryDecodeConfiguration, Names::ConfigurationKey},
+            CarawaykeelPlatform::tryDecodeConfiguration, Names::ConfigurationKey,
+            [&tableCalls](Metrics::PrometheusWriter &writer) { tableCalls.writeTo(writer); }},
         logSink);
-    const CarawaykeelPlatform::StoreFeed configuration(settings.tableAddress, Names::OperatorTable,
-        settings.tableTimeout, router.configurationSubscriber());
-    const CarawaykeelPlatform::StoreFeed servers(settings.tableAddress, Names::ServerTable,
-        settings.tableTimeout, router.serverListSubscriber());
+    Adapters::WorkerPool decoder(1, MaxQueuedDocuments);
+    CarawaykeelPlatform::StoreFeed configuration(settings.tableAddress, Names::OperatorTable,
+        settings.tableTimeout, reactor, decoder, tableCalls, router.configurationSubscriber());
+    CarawaykeelPlatform::StoreFeed servers(settings.tableAddress, Names::ServerTable,
+        settings.tableTimeout, reactor, decoder, tableCalls, router.serverListSubscriber());
     Ingress::SettingsWatcher watcher(file, std::move(document), reactor,
         [&router](const Ingress::ParsedRouterSettings &parsed) { router.applySettings(parsed); });
     std::thread(
@@ -77,8 +86,10 @@
         .detach();
     router.start();
     watcher.start();
+    configuration.start();
+    servers.start();
     reactor.run();
-    // Other threads still block on sockets and signals and refer to the objects above, so the
+    // Other threads still wait for signals and documents and refer to the objects above, so the
     // process exits without running destructors.
     logSink.flush(FinalFlushTimeout);
     std::_Exit(ExitOk);
--- a/Tests/Support/PeerFleet.cpp
+++ b/Tests/Support/PeerFleet.cpp
@@ -1,23 +1,7 @@
 #include <Support/PeerFleet.h>
 
-#include <cstdio>
-#include <filesystem>
-#include <fstream>
-#include <iterator>
-#include <unistd.h>
-
 namespace Carawaykeel::Tests {
 
-namespace {
-
-std::size_t countEntries(const std::string &folder)
-{
-    const std::filesystem::directory_iterator entries(folder);
-    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
-}
-
-} // namespace
-
 PeerFleet::Connection::Connection(
     PeerFleet &owner, std::size_t peerNumber, const Poco::Net::StreamSocket &stream)
     : fleet(owner)
@@ -71,14 +55,4 @@
     ++m_reachedCount;
 }
 
-ProcessUsage ProcessUsage::now()
-{
-    std::ifstream statm("/proc/self/statm");
-    std::size_t totalPages = 0;
-    std::size_t residentPages = 0;
-    statm >> totalPages >> residentPages;
-    return {countEntries("/proc/self/task"), countEntries("/proc/self/fd"),
-        residentPages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE))};
-}
-
 } // namespace Carawaykeel::Tests
--- a/Tests/Support/PeerFleet.h
+++ b/Tests/Support/PeerFleet.h
@@ -57,14 +57,4 @@
     std::thread m_thread;
 };
 
-/// Resources of this process.
-struct ProcessUsage
-{
-    std::size_t threads = 0;
-    std::size_t descriptors = 0;
-    std::size_t residentBytes = 0;
-
-    static ProcessUsage now();
-};
-
 } // namespace Carawaykeel::Tests
--- a/Tests/Transport/TcpPeerTransportTest.cpp
+++ b/Tests/Transport/TcpPeerTransportTest.cpp
@@ -1,3 +1,4 @@
+#include <Carawaykeel/Metrics/ProcessUsage.h>
 #include <Carawaykeel/Net/ReactorThread.h>
 #include <Carawaykeel/Transport/TcpPeerTransport.h>
 
@@ -152,7 +153,7 @@
         constexpr std::size_t MaxBytesPerPeer = 32 * 1'024;
         PeerFleet fleet(300);
         TransportUnderTest instance(fleet);
-        const auto before = ProcessUsage::now();
+        const auto before = Metrics::ProcessUsage::now();
         instance.sendToPeers(fleet.count());
         std::vector<Poco::Net::StreamSocket> connections;
         for (std::size_t n = 0; n < fleet.count(); ++n) {
@@ -161,7 +162,7 @@
         }
         CPPUNIT_ASSERT(waitUntil([&] { return fleet.reachedCount() == fleet.count(); }));
         CPPUNIT_ASSERT(waitUntil([&] { return instance.receivedCount() == 300; }));
-        const auto after = ProcessUsage::now();
+        const auto after = Metrics::ProcessUsage::now();
         CPPUNIT_ASSERT_EQUAL(before.threads, after.threads);
         CPPUNIT_ASSERT(after.residentBytes < before.residentBytes + 300 * MaxBytesPerPeer);
     }
