Platform: Read the list of servers at most twice a second

Cause: 268 servers write their rows every second or so, so each long poll of each VM returns at once: calls grow with the number of servers until the round trip bounds them. Change: a feed has a minimum time between two reads, 500 ms for servers (they go on for 2 s and more after they say that they leave) and 50 ms for the configuration, whose long poll is held for 1 s instead of 500 ms. Weighed: few readers that pass changes on to others, which a partition of just these readers would blind; not built. Test: StoreFeedTest::busyTableIsReadAtMostOncePerInterval.

--- a/Services/Carawaykeeld/RouterProcess.cpp
+++ b/Services/Carawaykeeld/RouterProcess.cpp
@@ -34,6 +34,13 @@
 /// Time that the process waits at exit for the reader of its log.
 constexpr Base::Milliseconds FinalFlushTimeout{200};
 
+/// A new configuration must be in force within two seconds.
+constexpr CarawaykeelPlatform::FeedTiming ConfigurationFeedTiming{
+    Base::Milliseconds(1'000), Base::Milliseconds(50)};
+/// Each server writes its row every second or so, so that the table of a large fleet changes all
+/// the time. A server that leaves goes on for two seconds.
+constexpr CarawaykeelPlatform::FeedTiming ServerFeedTiming{
+    Base::Milliseconds(500), Base::Milliseconds(500)};
 /// Maximum documents that wait for the decoding thread; each feed has at most one.
 constexpr std::size_t MaxQueuedDocuments = 8;
 
@@ -76,9 +83,11 @@
         logSink);
     Adapters::WorkerPool decoder(1, MaxQueuedDocuments);
     CarawaykeelPlatform::StoreFeed configuration(settings.tableAddress, Names::OperatorTable,
-        settings.tableTimeout, reactor, decoder, tableCalls, router.configurationSubscriber());
+        ConfigurationFeedTiming, settings.tableTimeout, reactor, decoder, tableCalls,
+        router.configurationSubscriber());
     CarawaykeelPlatform::StoreFeed servers(settings.tableAddress, Names::ServerTable,
-        settings.tableTimeout, reactor, decoder, tableCalls, router.serverListSubscriber());
+        ServerFeedTiming, settings.tableTimeout, reactor, decoder, tableCalls,
+        router.serverListSubscriber());
     Ingress::SettingsWatcher watcher(file, std::move(document), reactor,
         [&router](const Ingress::ParsedRouterSettings &parsed) { router.applySettings(parsed); });
     std::thread(
--- a/Tests/Platform/StoreFeedTest.cpp
+++ b/Tests/Platform/StoreFeedTest.cpp
@@ -76,18 +76,20 @@
     CPPUNIT_TEST(silenceIsNoticedAndTheFeedGoesOn);
     CPPUNIT_TEST(expiredHistoryIsReadAnew);
     CPPUNIT_TEST(largePagesAreDecodedOnTheOtherThread);
+    CPPUNIT_TEST(busyTableIsReadAtMostOncePerInterval);
     CPPUNIT_TEST_SUITE_END();
 
     /// Runs a feed against a script until the listener has heard the text.
-    static bool reports(const ScriptedServer::Script &script, const std::string &text)
+    static bool reports(const ScriptedServer::Script &script, const std::string &text,
+        CarawaykeelPlatform::FeedTiming timing = {Base::Milliseconds(500), Base::Milliseconds()})
     {
         ScriptedServer server(script);
         RecordingListener listener;
         CarawaykeelPlatform::StoreCallCounter counter;
         Net::ReactorThread thread;
         Adapters::WorkerPool decoder(1, 2);
-        CarawaykeelPlatform::StoreFeed feed(server.address(), "servers", Base::Milliseconds(300),
-            thread.reactor(), decoder, counter, listener);
+        CarawaykeelPlatform::StoreFeed feed(server.address(), "servers", timing,
+            Base::Milliseconds(300), thread.reactor(), decoder, counter, listener);
         feed.start();
         thread.start();
         const bool hasHeard = listener.waitFor(text);
@@ -164,6 +166,28 @@
             },
             expected));
     }
+
+    /// Pattern: the rows of a few hundred servers change all the time, so that each read returns at
+    /// once. Twenty reads take at least nineteen intervals.
+    void busyTableIsReadAtMostOncePerInterval()
+    {
+        constexpr Base::Milliseconds Interval(50);
+        const auto startedAt = std::chrono::steady_clock::now();
+        std::string expected = "reached ";
+        for (int n = 1; n <= 20; ++n)
+            expected += "+a ";
+        CPPUNIT_ASSERT(reports(
+            [](const ReceivedRequest &, int number) -> ScriptedResponse {
+                if (number == 1)
+                    return makeReply("", 1);
+                if (number <= 21)
+                    return makeReply(makeRow("a", number), number);
+                return {"", ScriptedResponse::Then::Hang};
+            },
+            expected, {Base::Milliseconds(500), Interval}));
+        const auto elapsed = std::chrono::steady_clock::now() - startedAt;
+        CPPUNIT_ASSERT(elapsed >= std::chrono::milliseconds(19 * Interval.count()));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreFeedTest);
