--- a/Tests/Platform/DecoderTest.cpp
+++ b/Tests/Platform/DecoderTest.cpp
@@ -53,6 +53,9 @@
     CPPUNIT_TEST(configurationIsDecoded);
     CPPUNIT_TEST(serverEntryIsDecoded);
     CPPUNIT_TEST(malformedEntriesAreRejected);
+    CPPUNIT_TEST(entriesWithNumbersOutOfRangeAreRejected);
+    CPPUNIT_TEST(deeplyNestedDocumentsAreRejected);
+    CPPUNIT_TEST(configurationWithNumbersOutOfRangeIsRejected);
     CPPUNIT_TEST(mutatedDocumentsNeverThrow);
     CPPUNIT_TEST(requestHeadersAreParsed);
     CPPUNIT_TEST(responseHeadersAreParsed);
@@ -106,6 +109,50 @@
             CPPUNIT_ASSERT_MESSAGE(text, !isServerEntry(text));
     }
 
+    /// Another writer's entry with a number that no server can mean.
+    void entriesWithNumbersOutOfRangeAreRejected()
+    {
+        for (const auto *slots : {"-4", "0", "99999999999", "1e30", "1.5", "true", "null"})
+            CPPUNIT_ASSERT_MESSAGE(slots, !isServerEntry(replaced(Entry, "64", slots)));
+        for (const auto *warmUp : {"1e300", "-1", "1e999", "\"soon\"", "[]", "null"})
+            CPPUNIT_ASSERT_MESSAGE(warmUp, !isServerEntry(replaced(Entry, "250", warmUp)));
+        for (const auto *born : {"-1", "1e999", "1.5", "\"x\"", "99999999999999999999"}) {
+            CPPUNIT_ASSERT_MESSAGE(born, !isServerEntry(replaced(Entry, "1700000000123", born)));
+        }
+        for (const auto *port : {"0", "-1", "65536", "99999", "080x", ""}) {
+            CPPUNIT_ASSERT_MESSAGE(
+                port, !isServerEntry(replaced(Entry, ":8080", std::string(":") + port)));
+        }
+        CPPUNIT_ASSERT(isServerEntry(replaced(Entry, ",\"coldLeftMs\":250", "")));
+        CPPUNIT_ASSERT(isServerEntry(replaced(Entry, "250", "0.5")));
+    }
+
+    void deeplyNestedDocumentsAreRejected()
+    {
+        for (const std::size_t depth : {100, 5'000, 400'000}) {
+            const auto nested = std::string(depth, '[') + "1" + std::string(depth, ']');
+            CPPUNIT_ASSERT(!isServerEntry(nested));
+            CPPUNIT_ASSERT(!isServerEntry(std::string(depth, '[')));
+            decodeConfiguration(replaced(Document, "\"weight\":90", "\"weight\":" + nested));
+            decodeConfiguration(nested);
+        }
+    }
+
+    /// Configurations are valid, but a number that cannot be meant must not end the process or
+    /// become an endless time.
+    void configurationWithNumbersOutOfRangeIsRejected()
+    {
+        for (const auto *timeout : {"1e300", "-5", "\"long\"", "1e999"}) {
+            CPPUNIT_ASSERT_MESSAGE(timeout,
+                std::holds_alternative<Base::Failure>(
+                    decodeConfiguration(replaced(Document, "15000", timeout))));
+        }
+        CPPUNIT_ASSERT(std::holds_alternative<Base::Failure>(
+            decodeConfiguration(replaced(Document, "3179661", "1e40"))));
+        CPPUNIT_ASSERT(std::holds_alternative<Base::Failure>(
+            decodeConfiguration(replaced(Document, "3179661", "-7"))));
+    }
+
     /// Random bytes are changed and documents truncated, with a fixed seed.
     void mutatedDocumentsNeverThrow()
     {
--- a/Tests/Platform/StoreFeedTest.cpp
+++ b/Tests/Platform/StoreFeedTest.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(expiredHistoryIsReadAnew);
     CPPUNIT_TEST(largePagesAreDecodedOnTheOtherThread);
     CPPUNIT_TEST(busyTableIsReadAtMostOncePerInterval);
+    CPPUNIT_TEST(rowsThatCannotBeReadHideNoOthers);
     CPPUNIT_TEST_SUITE_END();
 
     /// Runs a feed against a script until the listener has heard the text.
@@ -167,6 +168,22 @@
             expected));
     }
 
+    /// Another writer's rows have no value, one of another type or one that is no base64.
+    void rowsThatCannotBeReadHideNoOthers()
+    {
+        const std::string oddRows = R"({"key":"x","ver":3},{"key":"y","value":7,"ver":3},)"
+                                    R"({"key":"z","value":"*!","ver":3},{"ver":3},null,[1],)";
+        CPPUNIT_ASSERT(reports(
+            [&](const ReceivedRequest &, int number) -> ScriptedResponse {
+                if (number == 1)
+                    return makeReply(oddRows + makeRow("a", 3), 7);
+                if (number == 2)
+                    return makeReply(oddRows + makeRow("b", 8), 8);
+                return {"", ScriptedResponse::Then::Hang};
+            },
+            "reached =x: =y: =z: =a:value +x +y +z +b "));
+    }
+
     /// Pattern: the rows of a few hundred servers change all the time, so that each read returns at
     /// once. Twenty reads take at least nineteen intervals.
     void busyTableIsReadAtMostOncePerInterval()
