Ingress: Send slow callers their whole response before a connection closes

Cause: a request ends for the router when its response is passed to the caller's connection. A planned stop then ended the process, or closed the connection as idle after 300 ms, while a slow caller had not taken the rest; with Connection: close the rest was cut after one second in calm, too. Change: the stop waits for connections with unsent bytes within the time that it has for requests; an idle close waits for them; a closing connection stays as long as its caller takes bytes. Late requests of a stop were looked at too: they are rejected as not run after 2.5 s, and what is passed on before that is answered (PlannedStopTest::requestsDuringTheStopAreAnsweredOrNotPassedOn passed before). Test that failed before: PlannedStopTest::slowReaderGetsItsWholeResponse (response not complete).

--- a/Libraries/Carawaykeel/Ingress/CallerConnection.cpp
+++ b/Libraries/Carawaykeel/Ingress/CallerConnection.cpp
@@ -42,7 +42,14 @@
 void CallerConnection::closeWhenIdle()
 {
     m_closesAfterResponse = true;
-    if (m_state == State::Reading && !isBusy())
+    closeIfIdle();
+}
+
+void CallerConnection::closeIfIdle()
+{
+    // The previous response may still be on its way to a slow caller.
+    const bool isIdle = m_state == State::Reading && !isBusy() && m_socket.unsentBytes() == 0;
+    if (isIdle)
         close(false);
 }
 
@@ -54,6 +61,8 @@
             return onDisconnected();
         if (m_state == State::Lingering && m_socket.unsentBytes() == 0)
             m_socket.shutdownSend();
+        if (m_closesAfterResponse)
+            closeIfIdle();
         if (m_isCongested && m_socket.unsentBytes() < ResumeThreshold) {
             m_isCongested = false;
             if (m_request)
@@ -296,7 +305,31 @@
     // would cause a reset that destroys the response.
     if (m_socket.unsentBytes() == 0)
         m_socket.shutdownSend();
-    m_reactor.schedule(LingerTime, [self = shared_from_this()] { self->close(false); });
+    m_unsentBytes = m_socket.unsentBytes();
+    m_progressAt = m_reactor.now();
+    scheduleLingerCheck();
+}
+
+void CallerConnection::scheduleLingerCheck()
+{
+    m_reactor.schedule(LingerTime, [self = shared_from_this()] { self->checkLinger(); });
+}
+
+void CallerConnection::checkLinger()
+{
+    if (m_state == State::Closed)
+        return;
+    const auto unsentBytes = m_socket.unsentBytes();
+    const bool isSent = unsentBytes == 0 && m_unsentBytes == 0;
+    const auto now = m_reactor.now();
+    if (unsentBytes < m_unsentBytes)
+        m_progressAt = now;
+    m_unsentBytes = unsentBytes;
+    // A slow caller gets its whole response, one that takes nothing more does not.
+    const bool isStalled = unsentBytes > 0 && now - m_progressAt >= m_limitsProvider().idleTimeout;
+    if (isSent || isStalled)
+        return close(isStalled);
+    scheduleLingerCheck();
 }
 
 void CallerConnection::close(bool isAborted)
--- a/Libraries/Carawaykeel/Ingress/CallerConnection.h
+++ b/Libraries/Carawaykeel/Ingress/CallerConnection.h
@@ -33,6 +33,9 @@
     /// True while a request is being read or handled.
     bool isBusy() const { return m_state == State::Handling || !m_received.empty() || m_head; }
 
+    /// True while a part of a response has not been taken by the caller's connection.
+    bool hasUnsentBytes() const { return m_socket.unsentBytes() > 0; }
+
     void onReady(Net::Readiness readiness) override;
 
     void sendResponse(Poco::Net::HTTPResponse &head, std::string_view body) override;
@@ -56,7 +59,10 @@
     void finishResponse();
     void awaitRequest();
     void onReadTimeout(std::uint64_t timerGeneration, bool isIdle);
+    void closeIfIdle();
     void linger();
+    void scheduleLingerCheck();
+    void checkLinger();
     void close(bool isAborted);
     void onDisconnected();
 
@@ -74,6 +80,9 @@
     bool m_isStreamChunked = false;
     bool m_closesAfterResponse = false;
     bool m_isCongested = false;
+    /// Unsent bytes at the last check of a lingering connection, and when they last became fewer.
+    std::size_t m_unsentBytes = 0;
+    Base::Milliseconds m_progressAt;
     /// Incremented for each request, so that timers of earlier requests have no effect.
     std::uint64_t m_timerGeneration = 0;
 };
--- a/Libraries/Carawaykeel/Ingress/CallerListener.cpp
+++ b/Libraries/Carawaykeel/Ingress/CallerListener.cpp
@@ -1,5 +1,6 @@
 #include <Carawaykeel/Ingress/CallerListener.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -36,6 +37,12 @@
     connection->start();
 }
 
+std::size_t CallerListener::unsentCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_connections, [](const auto &entry) { return entry.second->hasUnsentBytes(); }));
+}
+
 void CallerListener::closeIdle()
 {
     std::vector<std::shared_ptr<CallerConnection>> connections;
--- a/Libraries/Carawaykeel/Ingress/CallerListener.h
+++ b/Libraries/Carawaykeel/Ingress/CallerListener.h
@@ -21,6 +21,8 @@
     void stopAccepting() { m_listener.close(); }
 
     Poco::Net::SocketAddress address() const { return m_listener.address(); }
+    /// Number of connections whose responses are not sent as a whole yet.
+    std::size_t unsentCount() const;
     std::size_t connectionCount() const { return m_connections.size(); }
 
 private:
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -331,7 +331,9 @@
 void Router::awaitActiveExchanges(Base::Milliseconds deadline)
 {
     const bool hasTimedOut = m_reactor.now() >= deadline;
-    if (m_context.activeExchanges > 0 && !hasTimedOut) {
+    // A request has ended for the router before a slow caller has taken its whole response.
+    const bool isBusy = m_context.activeExchanges > 0 || m_callerListener.unsentCount() > 0;
+    if (isBusy && !hasTimedOut) {
         m_reactor.schedule(DrainPollInterval, [this, deadline] { awaitActiveExchanges(deadline); });
         return;
     }
