Ingress: Send callers to the largest VMs that can carry them

Cause: a caller keeps to one of the addresses that it is given. Ruled out: the servers (busiest at 1.39 of the mean) and the store. Change: an instance knows the capacity of its VM from its settings and tells it with its requests a second in its datagrams. The datagrams have new fields: an instance of the version before refuses them as malformed.

--- /dev/null
+++ b/Libraries/Carawaykeel/Ingress/EntrySelection.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Carawaykeel::Ingress {
+
+/// An instance that callers may connect to.
+struct EntryCandidate
+{
+    /// IP number and port for callers.
+    std::string address;
+    /// Requests per second that its VM can carry; 0 if unknown.
+    std::uint32_t capacity = 0;
+    /// Requests per second that it receives now.
+    std::uint32_t load = 0;
+};
+
+/// Maximum number of addresses that callers use of one response.
+inline constexpr std::size_t MaxEntryAddresses = 64;
+
+/// Returns the addresses that callers of one data centre are given: those of the largest VMs, and
+/// as many smaller ones as the current load requires. A caller keeps to one address for as long as
+/// it may, so that a busy caller would overload a small VM, and each further VM needs its own part
+/// of the teams' tokens and its own connections to the servers.
+std::vector<std::string> selectEntryAddresses(std::vector<EntryCandidate> candidates);
+
+/// Returns the requests per second that a VM can carry. `coreShare` is its share of one core,
+/// `linkMbps` the bandwidth of its link in Mbit/s.
+std::uint32_t estimateCapacity(double coreShare, double linkMbps);
+
+} // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -34,6 +34,7 @@
     , m_startedAt(context.reactor.now())
 {
     ++m_context.activeExchanges;
+    ++m_context.startedExchanges;
 }
 
 Exchange::~Exchange()
--- a/Libraries/Carawaykeel/Ingress/ExchangeContext.h
+++ b/Libraries/Carawaykeel/Ingress/ExchangeContext.h
@@ -37,6 +37,8 @@
     bool isRejectingRequests = false;
     /// Number of exchanges that have not ended.
     int activeExchanges = 0;
+    /// Number of requests since the start.
+    std::uint64_t startedExchanges = 0;
 };
 
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -5,6 +5,7 @@
 
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
+#include <cmath>
 #include <random>
 #include <utility>
 
@@ -16,6 +17,9 @@
 namespace {
 
 constexpr Base::Milliseconds MaintenanceInterval{500};
+/// Weight of the latest interval in the moving average of the requests per second.
+constexpr double LoadWeight = 0.3;
+constexpr double MillisecondsPerSecond = 1'000;
 /// Maximum length of a message between instances. The longest carry a configuration with many
 /// routes.
 constexpr std::size_t MaxFrameBytes = 4 * 1'024 * 1'024;
@@ -51,6 +55,7 @@
     self.gossipAddress = settings.gossipAddress;
     self.peerAddress = settings.peerAddress;
     self.callerAddress = settings.callerAddress;
+    self.capacity = settings.capacity;
     return self;
 }
 
@@ -245,26 +250,31 @@
 
 EntryResponse Router::entryResponseFor(const Forwarding::EntryQuery &query) const
 {
-    EntryResponse localEntries;
-    EntryResponse allEntries;
+    std::vector<EntryCandidate> localCandidates;
+    std::vector<EntryCandidate> allCandidates;
     // Before joining, only a few instances are known. Callers of many data centres would all be
     // sent to them.
     if (!m_membership->hasJoined())
-        return allEntries;
+        return {};
     for (const auto &member : m_membership->servingMembers()) {
-        allEntries.addresses.push_back(member.callerAddress);
+        const EntryCandidate candidate{
+            member.callerAddress, member.capacity, m_membership->loadOf(member.id.name)};
+        allCandidates.push_back(candidate);
         if (member.dataCentre == query.dataCentre)
-            localEntries.addresses.push_back(member.callerAddress);
+            localCandidates.push_back(candidate);
     }
-    localEntries.cacheTime = allEntries.cacheTime = m_settings.entryCacheTime;
     // With a single address, callers would have no other instance to use when that one fails.
     constexpr std::size_t MinLocalAddresses = 2;
-    auto &response = localEntries.addresses.size() >= MinLocalAddresses ? localEntries : allEntries;
+    const auto serving = allCandidates.size();
+    const bool isLocal = localCandidates.size() >= MinLocalAddresses;
+    const EntryResponse response{
+        selectEntryAddresses(std::move(isLocal ? localCandidates : allCandidates)),
+        m_settings.entryCacheTime};
     m_log.routineInfo(LogEvent::EntryAnswered,
         LogFields()
             .add("data_centre", query.dataCentre.text())
             .add("addresses", response.addresses.size())
-            .add("serving", allEntries.addresses.size())
+            .add("serving", serving)
             .add("known", m_membership->knownInstances()));
     return response;
 }
@@ -278,8 +288,23 @@
     m_peerTransport.send(peers.at(distribution(m_random)), Peer::FetchServers());
 }
 
+void Router::measureLoad()
+{
+    const auto now = m_reactor.now();
+    const auto elapsed = static_cast<double>((now - m_loadMeasuredAt).count());
+    const auto started = static_cast<double>(m_context.startedExchanges - m_exchangesAtMeasurement);
+    if (elapsed <= 0)
+        return;
+    m_loadMeasuredAt = now;
+    m_exchangesAtMeasurement = m_context.startedExchanges;
+    m_requestsPerSecond +=
+        LoadWeight * (started * MillisecondsPerSecond / elapsed - m_requestsPerSecond);
+    m_membership->setLoad(static_cast<std::uint32_t>(std::lround(m_requestsPerSecond)));
+}
+
 void Router::runMaintenance()
 {
+    measureLoad();
     std::vector<std::string> addresses;
     for (const auto &server : m_serverPool.servers())
         addresses.push_back(server.entry.address);
--- a/Libraries/Carawaykeel/Ingress/Router.h
+++ b/Libraries/Carawaykeel/Ingress/Router.h
@@ -6,6 +6,7 @@
 #include <Carawaykeel/Ingress/CallerListener.h>
 #include <Carawaykeel/Ingress/ConfigurationSubscriber.h>
 #include <Carawaykeel/Ingress/EntryHandler.h>
+#include <Carawaykeel/Ingress/EntrySelection.h>
 #include <Carawaykeel/Ingress/ExchangeContext.h>
 #include <Carawaykeel/Ingress/ForwardHandler.h>
 #include <Carawaykeel/Ingress/GossipReportTransport.h>
@@ -70,6 +71,7 @@
     void onPeerMessage(const Peer::PeerEnvelope &envelope);
     Membership::MembershipEvents membershipEvents();
     void requestServerList();
+    void measureLoad();
     void runMaintenance();
     void startMetricsListener();
     std::string metricsPage() const;
@@ -109,6 +111,9 @@
     MetricsHandler m_metricsHandler;
     /// Null if no address is set or listening on it failed.
     std::unique_ptr<CallerListener> m_metricsListener;
+    Base::Milliseconds m_loadMeasuredAt;
+    std::uint64_t m_exchangesAtMeasurement = 0;
+    double m_requestsPerSecond = 0;
     bool m_isShuttingDown = false;
 };
 
--- a/Libraries/Carawaykeel/Ingress/RouterSettings.h
+++ b/Libraries/Carawaykeel/Ingress/RouterSettings.h
@@ -40,6 +40,8 @@
     /// Maximum time from the start of the shutdown to the end of the process.
     Base::Milliseconds shutdownTimeout{8'000};
     std::size_t maxConnections = 3'000;
+    /// Requests per second that the VM can carry; 0 if unknown.
+    std::uint32_t capacity = 0;
     Forwarding::RetryBudgetPolicy retries;
     Forwarding::ServerSelectionPolicy serverSelection;
     Budget::AllotmentPolicy allotments;
--- a/Libraries/Carawaykeel/Ingress/RouterSettingsParser.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterSettingsParser.cpp
@@ -1,5 +1,7 @@
 #include <Carawaykeel/Ingress/RouterSettingsParser.h>
 
+#include <Carawaykeel/Ingress/EntrySelection.h>
+
 #include <Carawaykeel/Configuration/JsonObjectReader.h>
 
 namespace Carawaykeel::Ingress {
@@ -38,6 +40,16 @@
     reader.rejectUnknownKeys();
 }
 
+void readVm(JsonObjectReader reader, RouterSettings &settings)
+{
+    constexpr double MaxCores = 1'024;
+    constexpr double MaxLinkMbps = 1'000'000;
+    const auto coreShare = reader.optionalNumber("core_share", 0, 0, MaxCores);
+    const auto linkMbps = reader.optionalNumber("link_mbps", 0, 0, MaxLinkMbps);
+    settings.capacity = estimateCapacity(coreShare, linkMbps);
+    reader.rejectUnknownKeys();
+}
+
 void readRetries(JsonObjectReader reader, Forwarding::RetryBudgetPolicy &policy)
 {
     policy.ratio = reader.optionalNumber("ratio", policy.ratio, 0, 1);
@@ -95,6 +107,7 @@
     readMilliseconds(table, "timeout_ms", settings.tableTimeout);
     table.rejectUnknownKeys();
     readPeers(root.requireObject("peers"), settings);
+    readVm(root.optionalObject("vm"), settings);
     readRetries(root.optionalObject("retries"), settings.retries);
     readAllotments(root.optionalObject("allotments"), settings.allotments);
     settings.metricsAddress = root.optionalAddress("metrics_address");
--- a/Libraries/Carawaykeel/Membership/GossipMessage.h
+++ b/Libraries/Carawaykeel/Membership/GossipMessage.h
@@ -34,6 +34,8 @@
     /// The member to probe; set in a PingRequest.
     Base::InstanceName target;
     std::uint64_t configurationVersion = 0;
+    /// Requests per second that the sender receives.
+    std::uint32_t load = 0;
     std::vector<Member> updates;
     std::vector<Base::ServerName> leavingServers;
     std::vector<Forwarding::ServerBacklog> backlogs;
@@ -43,7 +45,7 @@
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(kind, sequence, sender, target, configurationVersion, updates, leavingServers,
+        archive(kind, sequence, sender, target, configurationVersion, load, updates, leavingServers,
             backlogs);
         if (kind == GossipKind::PromptReports)
             archive(promptReports);
--- a/Libraries/Carawaykeel/Membership/Member.h
+++ b/Libraries/Carawaykeel/Membership/Member.h
@@ -34,6 +34,8 @@
     MemberState state = MemberState::Alive;
     /// Incremented when the member refutes a suspicion or announces that it is leaving.
     std::uint32_t refutationCount = 0;
+    /// Requests per second that the VM can carry; 0 if unknown.
+    std::uint32_t capacity = 0;
     /// Set while the member shuts down: callers are no longer directed to it.
     bool isLeaving = false;
 
@@ -41,7 +43,7 @@
     void serialize(Archive &archive)
     {
         archive(id, dataCentre, vm, gossipAddress, peerAddress, callerAddress, operatorAddress,
-            state, refutationCount, isLeaving);
+            state, refutationCount, capacity, isLeaving);
     }
 };
 
--- a/Libraries/Carawaykeel/Membership/Membership.cpp
+++ b/Libraries/Carawaykeel/Membership/Membership.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::size_t MaxEndedIncarnations = 256;
+/// A busy instance sends reports all the time; one that was not heard of for this long counts as
+/// idle.
+constexpr Base::Milliseconds LoadLifetime{5'000};
 
 /// Returns true when an update supersedes the known state of the same incarnation.
 bool isNewer(const Member &update, const Member &known)
@@ -153,6 +156,7 @@
         sender.state = MemberState::Alive;
         applyUpdate(sender);
         enqueueIfNotAlive(message.sender.id.name);
+        m_loads[message.sender.id.name] = {message.load, m_scheduler.now()};
     }
     for (const auto &update : message.updates)
         applyUpdate(update);
@@ -261,6 +265,16 @@
     m_configurationVersion = version;
 }
 
+std::uint32_t Membership::loadOf(const Base::InstanceName &name) const
+{
+    if (name == m_self.id.name)
+        return m_load;
+    const auto it = m_loads.find(name);
+    const bool isKnown =
+        it != m_loads.end() && m_scheduler.now() - it->second.receivedAt < LoadLifetime;
+    return isKnown ? it->second.load : 0;
+}
+
 void Membership::markVmGone(const std::string &vm)
 {
     if (!m_goneVms.insert(vm).second)
--- a/Libraries/Carawaykeel/Membership/Membership.h
+++ b/Libraries/Carawaykeel/Membership/Membership.h
@@ -69,6 +69,10 @@
         std::span<const Forwarding::PromptReport> reports, const Base::InstanceName &to);
 
     /// Sets the configuration version that datagrams carry.
+    /// Sets the requests per second of this instance, which each datagram reports.
+    void setLoad(std::uint32_t load) { m_load = load; }
+    /// Returns the last reported requests per second of an instance; 0 if it is idle or unknown.
+    std::uint32_t loadOf(const Base::InstanceName &name) const;
     void setConfigurationVersion(std::uint64_t version);
 
     /// Records that a VM is gone, as reported by the platform or an operator. The incarnations that
@@ -152,6 +156,14 @@
     std::map<std::uint64_t, RelayedProbe> m_relayedProbes;
     std::uint64_t m_lastSequence = 0;
     std::uint64_t m_periodCount = 0;
+    struct ReportedLoad
+    {
+        std::uint32_t load = 0;
+        Base::Milliseconds receivedAt;
+    };
+
+    std::uint32_t m_load = 0;
+    std::map<Base::InstanceName, ReportedLoad> m_loads;
     std::uint64_t m_configurationVersion = 0;
 };
 
--- a/Libraries/Carawaykeel/Membership/MembershipUpdates.cpp
+++ b/Libraries/Carawaykeel/Membership/MembershipUpdates.cpp
@@ -68,15 +68,15 @@
 void Membership::send(GossipKind kind, std::string_view address, std::uint64_t sequence,
     const Base::InstanceName &target)
 {
-    GossipMessage message{kind, sequence, m_self, target, m_configurationVersion, takeUpdates(),
-        takeServerUpdates(), {}};
+    GossipMessage message{kind, sequence, m_self, target, m_configurationVersion, m_load,
+        takeUpdates(), takeServerUpdates(), {}};
     m_transport.send(address, message);
 }
 
 void Membership::sendMemberList(const std::string &address)
 {
     GossipMessage message{
-        GossipKind::MemberList, 0, m_self, {}, m_configurationVersion, {}, {}, {}};
+        GossipKind::MemberList, 0, m_self, {}, m_configurationVersion, m_load, {}, {}, {}};
     for (const auto &[name, member] : m_members) {
         message.updates.push_back(member);
         if (message.updates.size() < m_policy.maxMembersPerMessage)
@@ -100,7 +100,8 @@
 {
     for (const auto *member : selectRandomMembers(m_policy.maxBacklogReceivers)) {
         m_transport.send(member->gossipAddress,
-            {GossipKind::Backlogs, 0, m_self, {}, m_configurationVersion, {}, {}, backlogs});
+            {GossipKind::Backlogs, 0, m_self, {}, m_configurationVersion, m_load, {}, {},
+                backlogs});
     }
 }
 
@@ -124,7 +125,7 @@
     if (reports.empty())
         return;
     m_transport.send(address,
-        {GossipKind::PromptReports, 0, m_self, {}, m_configurationVersion, {}, {}, {},
+        {GossipKind::PromptReports, 0, m_self, {}, m_configurationVersion, m_load, {}, {}, {},
             {reports.begin(), reports.end()}});
 }
 
