Net: Deliver signals through a descriptor

Cause: a thread waited for signals; with it a router has four threads where three are the target. Change: Net/SignalListener watches a signalfd. Test: SignalListenerTest.

--- a/Services/Carawaykeeld/RouterProcess.cpp
+++ b/Services/Carawaykeeld/RouterProcess.cpp
@@ -8,6 +8,7 @@
 #include <Carawaykeel/Ingress/RouterSettingsParser.h>
 #include <Carawaykeel/Ingress/SettingsWatcher.h>
 #include <Carawaykeel/Logging/StreamLogSink.h>
+#include <Carawaykeel/Net/SignalListener.h>
 #include <platform/ConfigurationDecoder.h>
 #include <platform/PlatformDialect.h>
 #include <platform/ServerEntryDecoder.h>
@@ -23,7 +24,6 @@
 #include <fmt/core.h>
 #include <fstream>
 #include <iterator>
-#include <thread>
 #include <unistd.h>
 #include <utility>
 
@@ -46,32 +46,15 @@
 
 namespace Names = CarawaykeelPlatform::WireNames;
 
-void handleSignals(const sigset_t &signals, Net::Reactor &reactor, Ingress::Router &router,
-    Ingress::SettingsWatcher &watcher)
-{
-    while (true) {
-        int signal = 0;
-        if (sigwait(&signals, &signal) != 0)
-            continue;
-        if (signal == SIGHUP) {
-            reactor.post([&watcher] { watcher.poll(); });
-        } else {
-            reactor.post([&router] { router.shutDown(); });
-        }
-    }
-}
-
 int serve(const Ingress::RouterSettings &settings, const std::string &file, std::string document)
 {
-    Logging::StreamLogSink logSink(STDOUT_FILENO, settings.log);
-    sigset_t signals;
-    sigemptyset(&signals);
-    for (const int signalNumber : {SIGTERM, SIGINT, SIGHUP})
-        sigaddset(&signals, signalNumber);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
-
     Net::Reactor reactor;
+    // Comes before all threads, so that they inherit the blocked signals.
+    Net::SignalListener::SignalHandler onSignal;
+    const Net::SignalListener signals(
+        reactor, {SIGTERM, SIGINT, SIGHUP}, [&onSignal](int signal) { onSignal(signal); });
+    Logging::StreamLogSink logSink(STDOUT_FILENO, settings.log);
     const CarawaykeelPlatform::PlatformDialect dialect;
     CarawaykeelPlatform::StoreCallCounter tableCalls;
     CarawaykeelPlatform::StoreClient store(
@@ -90,15 +73,17 @@
         router.serverListSubscriber());
     Ingress::SettingsWatcher watcher(file, std::move(document), reactor,
         [&router](const Ingress::ParsedRouterSettings &parsed) { router.applySettings(parsed); });
-    std::thread(
-        handleSignals, std::cref(signals), std::ref(reactor), std::ref(router), std::ref(watcher))
-        .detach();
+    onSignal = [&](int signal) {
+        if (signal == SIGHUP)
+            return watcher.poll();
+        router.shutDown();
+    };
     router.start();
     watcher.start();
     configuration.start();
     servers.start();
     reactor.run();
-    // Other threads still wait for signals and documents and refer to the objects above, so the
+    // Another thread still waits for documents and refers to the objects above, so the
     // process exits without running destructors.
     logSink.flush(FinalFlushTimeout);
     std::_Exit(ExitOk);
