--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,6 +13,8 @@
 ROUTERS = (1, 2, 3)
 WORKERS = 12
 RACK = 3
+#: A worker's entry is removed after three liveness report intervals (`beatMs` 1,200) of silence.
+EXPIRY_S = 3.6
 BATCH_EVERY_S = 3.0
 #: The part that all requests share (the instructions of the shop), and the part of each of three sessions.
 INSTRUCTIONS = "5c1e07a2:119"
@@ -82,6 +84,7 @@
             record(f"the rack with {rack} loses power ({len(rack)} of {WORKERS} workers)")
             for name in rack:
                 fleet.workers[name].signal(signal.SIGKILL)
+                asyncio.get_running_loop().call_later(EXPIRY_S, fleet.store.remove, "servers", name)
         await asyncio.sleep(0.9)
         await running
         before = list(sent)
@@ -92,7 +95,6 @@
             await asyncio.sleep(0.6)
             # The workers are back as well, each with a new id.
             for name in rack:
-                fleet.store.remove("servers", name)
                 n = int(name[2:], 16)
                 await fleet.start_worker(f"i-{n + 64:08x}", n, options)
             record("the rack's workers are back")
