Forwarding: Try quarantined prompt parts again

Cause: three crashes of different servers at the same moment are one event but were blamed on what their requests had in common. Only a response clears a part, and no request with it was sent; each rejected request began the ten minutes again, and the stored evidence carried it over restarts.

Change: one request at a time among all instances is sent as a trial, 2 s after crashes that may have a common cause, 30 s after others, and 15 times later after each failure. The right to send it is a conditional write of the part's row. A response clears the part everywhere. A deadly part reaches three more servers at most in the first seven minutes.

--- a/Libraries/Carawaykeel/Forwarding/PromptQuarantine.cpp
+++ b/Libraries/Carawaykeel/Forwarding/PromptQuarantine.cpp
@@ -65,6 +65,13 @@
 
 bool PromptQuarantine::isRejected(std::span<const std::uint64_t> parts, Base::Milliseconds now)
 {
+    return !rejectingParts(parts, now).empty();
+}
+
+std::vector<std::uint64_t> PromptQuarantine::rejectingParts(
+    std::span<const std::uint64_t> parts, Base::Milliseconds now)
+{
+    std::vector<std::uint64_t> rejecting;
     for (const auto part : parts) {
         const auto it = m_suspects.find(part);
         if (it == m_suspects.end())
@@ -72,7 +79,8 @@
         auto &suspect = it->second;
         if (isQuarantined(suspect, now)) {
             suspect.quarantinedAt = now;
-            return true;
+            rejecting.push_back(part);
+            continue;
         }
         if (!isBlamed(suspect, now))
             continue;
@@ -83,9 +91,18 @@
                 && std::ranges::find(parts, other.first) == parts.end();
         });
         if (!hasOtherCause)
-            return true;
+            rejecting.push_back(part);
     }
-    return false;
+    return rejecting;
+}
+
+bool PromptQuarantine::hasSeparateCrashes(std::uint64_t part) const
+{
+    const auto it = m_suspects.find(part);
+    if (it == m_suspects.end() || it->second.crashes.empty())
+        return false;
+    const auto [first, last] = std::ranges::minmax_element(it->second.crashes, {}, &Crash::at);
+    return last->at - first->at > m_policy.commonCauseWindow;
 }
 
 std::vector<PromptReport> PromptQuarantine::evidenceOf(
--- a/Libraries/Carawaykeel/Forwarding/PromptQuarantine.h
+++ b/Libraries/Carawaykeel/Forwarding/PromptQuarantine.h
@@ -17,6 +17,9 @@
     std::size_t crashesToBlame = 3;
     /// Crashes of one server within this time are one crash that several requests or instances saw.
     Base::Milliseconds sameCrashWindow{1'500};
+    /// Crashes of different servers within this time may have one cause outside the prompts, such
+    /// as the power of a rack.
+    Base::Milliseconds commonCauseWindow{1'500};
     /// A crash counts for this long.
     Base::Milliseconds suspicionLifetime{60'000};
     /// A part to which servers responded so recently is not suspected when another request with it
@@ -67,6 +70,13 @@
 
     /// Returns true if a request with these shared parts must not be sent to a server.
     bool isRejected(std::span<const std::uint64_t> parts, Base::Milliseconds now);
+    /// Returns those of the parts for which each request that contains all of them is rejected.
+    std::vector<std::uint64_t> rejectingParts(
+        std::span<const std::uint64_t> parts, Base::Milliseconds now);
+
+    /// Returns true if the part was at crashes that no common cause explains, since they are apart
+    /// in time.
+    bool hasSeparateCrashes(std::uint64_t part) const;
 
     /// Returns the reports from which another instance learns to reject the same requests: that a
     /// part is quarantined, or the crashes that it is blamed for.
--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -52,7 +52,7 @@
     if (const auto *failure = std::get_if<Base::Failure>(&admitted))
         return fail(*failure);
     startTimeout();
-    holdTokens();
+    checkPrompt();
 }
 
 void Exchange::startTimeout()
@@ -77,8 +77,10 @@
 {
     if (m_sentAttempts == 0)
         m_progress.timeToFirstAttempt = elapsed();
-    if (!m_hasStreamStarted && m_context.promptGuard.isQuarantined(m_requestMetadata.promptParts)) {
-        auto failure = quarantineFailure();
+    if (!m_hasStreamStarted && !m_isTrial
+        && m_context.promptGuard.isQuarantined(m_requestMetadata.promptParts)) {
+        auto failure =
+            quarantineFailure(m_context.promptGuard.retryAfter(m_requestMetadata.promptParts));
         if (m_mayHaveRun)
             failure.kind = Base::ErrorKind::ServerFailed;
         return fail(failure);
@@ -282,6 +284,8 @@
     if (outcome == Forwarding::AttemptOutcome::ConnectionLost && !m_response.hasContent) {
         if (const auto *server = m_context.serverPool.findEntry(m_server))
             m_context.promptGuard.onConnectionLost(*server, m_requestMetadata.promptParts);
+        if (std::exchange(m_isTrial, false))
+            m_context.promptGuard.onTrialFailed(m_requestMetadata.promptParts);
     }
     endAttempt(true);
     handleAttemptOutcome(outcome);
--- a/Libraries/Carawaykeel/Ingress/Exchange.h
+++ b/Libraries/Carawaykeel/Ingress/Exchange.h
@@ -59,7 +59,8 @@
     };
 
     Base::Result<void> tryAdmit();
-    static Base::Failure quarantineFailure();
+    void checkPrompt();
+    static Base::Failure quarantineFailure(Base::Milliseconds retryAfter);
     Base::Milliseconds noServerRetryAfter() const;
     bool isStream() const { return m_route.kind == Forwarding::RouteKind::Stream; }
     bool isSuccess() const;
@@ -125,6 +126,8 @@
     Forwarding::EventSplitter m_events;
     /// Part of a stream was sent to the caller, in this attempt or an earlier one.
     bool m_hasStreamStarted = false;
+    /// The prompt is quarantined, and the request is sent to find out whether it is sound.
+    bool m_isTrial = false;
     /// A server may have executed the request, so its prompt tokens count as used.
     bool m_mayHaveRun = false;
     bool m_isFinished = false;
--- a/Libraries/Carawaykeel/Ingress/ExchangeAdmission.cpp
+++ b/Libraries/Carawaykeel/Ingress/ExchangeAdmission.cpp
@@ -15,15 +15,26 @@
 constexpr Base::Milliseconds ShutdownRetryAfter{50};
 /// Retry-After of requests whose team's tokens are unreachable.
 constexpr Base::Milliseconds BudgetRetryAfter{400};
-/// Retry-After of requests whose prompt crashes servers; only another prompt helps sooner.
-constexpr Base::Milliseconds QuarantineRetryAfter{60'000};
 
 } // namespace
 
-Base::Failure Exchange::quarantineFailure()
+Base::Failure Exchange::quarantineFailure(Base::Milliseconds retryAfter)
 {
-    return {Base::ErrorKind::PromptQuarantined, "servers crash on a part of the prompt",
-        QuarantineRetryAfter};
+    return {
+        Base::ErrorKind::PromptQuarantined, "servers crash on a part of the prompt", retryAfter};
+}
+
+void Exchange::checkPrompt()
+{
+    m_context.promptGuard.admit(m_requestMetadata.promptParts,
+        [self = shared_from_this()](const PromptAdmission &admission) {
+            if (self->m_isFinished)
+                return;
+            if (!admission.isAdmitted)
+                return self->fail(quarantineFailure(admission.retryAfter));
+            self->m_isTrial = admission.isTrial;
+            self->holdTokens();
+        });
 }
 
 Base::Milliseconds Exchange::noServerRetryAfter() const
@@ -56,8 +67,6 @@
         return boost::leaf::new_error(Base::Failure{
             Base::ErrorKind::ShuttingDown, "this instance shuts down", ShutdownRetryAfter});
     }
-    if (m_context.promptGuard.isQuarantined(m_requestMetadata.promptParts))
-        return boost::leaf::new_error(quarantineFailure());
     std::vector<int> weights;
     for (const auto &weightedService : m_route.services)
         weights.push_back(weightedService.weight);
--- a/Libraries/Carawaykeel/Ingress/PromptGuard.cpp
+++ b/Libraries/Carawaykeel/Ingress/PromptGuard.cpp
@@ -1,5 +1,6 @@
 #include <Carawaykeel/Ingress/PromptGuard.h>
 
+#include <algorithm>
 #include <fmt/core.h>
 #include <set>
 #include <utility>
@@ -16,6 +17,8 @@
 /// Maximum number of reports for an instance that has just started, so that they fit into one
 /// packet.
 constexpr std::size_t MaxKnownReports = 64;
+constexpr Base::Milliseconds MinRetryAfter{1'000};
+constexpr Base::Milliseconds MaxRetryAfter{60'000};
 
 /// Returns the ids of the parts that other requests may share. The last part belongs to the request
 /// itself.
@@ -30,13 +33,14 @@
 } // namespace
 
 PromptGuard::PromptGuard(Net::Reactor &reactor, PromptReportTransport &transport,
-    QuarantineStore &store, const Logging::Logger &log)
+    QuarantineStore &store, Base::RandomEngine &random, const Logging::Logger &log)
     : m_reactor(reactor)
     , m_transport(transport)
     , m_store(store)
     , m_log(log)
     , m_crashDetector(
           reactor, [this](const auto &server, auto parts) { onServerCrashed(server, parts); })
+    , m_trials(store, reactor, random)
 {
 }
 
@@ -51,22 +55,70 @@
     });
 }
 
+void PromptGuard::admit(std::span<const Forwarding::PromptPart> prompt,
+    const std::function<void(const PromptAdmission &)> &callback)
+{
+    const auto parts = rejectingParts(prompt);
+    if (parts.empty())
+        return callback({});
+    m_trials.claim(parts, [this, parts, callback](const TrialClaim &claim) {
+        if (!claim.isPartStored)
+            saveEvidence(parts.front(), 0);
+        if (claim.isGranted) {
+            // The row exists, so that a response has to remove it.
+            m_storedParts[parts.front()] = m_reactor.now();
+            logTrial(parts, "started");
+        }
+        callback({claim.isGranted, claim.isGranted,
+            std::clamp(claim.retryIn, MinRetryAfter, MaxRetryAfter)});
+    });
+}
+
 bool PromptGuard::isQuarantined(std::span<const Forwarding::PromptPart> prompt)
+{
+    return !rejectingParts(prompt).empty();
+}
+
+Base::Milliseconds PromptGuard::retryAfter(std::span<const Forwarding::PromptPart> prompt)
+{
+    return std::clamp(
+        m_trials.timeUntilTrial(rejectingParts(prompt)), MinRetryAfter, MaxRetryAfter);
+}
+
+void PromptGuard::onTrialFailed(std::span<const Forwarding::PromptPart> prompt)
+{
+    const auto parts = rejectingParts(prompt);
+    if (parts.empty())
+        return;
+    for (const auto part : parts)
+        saveEvidence(part, 1);
+    logTrial(parts, "failed");
+}
+
+std::vector<std::uint64_t> PromptGuard::rejectingParts(
+    std::span<const Forwarding::PromptPart> prompt)
+{
+    auto parts = m_quarantine.rejectingParts(sharedParts(prompt), m_reactor.now());
+    if (!parts.empty())
+        announce();
+    return parts;
+}
+
+void PromptGuard::announce()
 {
     const auto now = m_reactor.now();
-    if (!m_quarantine.isRejected(sharedParts(prompt), now))
-        return false;
-    if (now - m_announcedAt >= AnnouncementInterval) {
-        m_announcedAt = now;
-        m_transport.sendToSome(knownReports());
-        renewStoredEvidence();
-    }
-    return true;
+    if (now - m_announcedAt < AnnouncementInterval)
+        return;
+    m_announcedAt = now;
+    m_transport.sendToSome(knownReports());
+    renewStoredEvidence();
 }
 
 void PromptGuard::onResponded(std::span<const Forwarding::PromptPart> prompt)
 {
-    publish(m_quarantine.onResponded(sharedParts(prompt), m_reactor.now()));
+    const auto parts = sharedParts(prompt);
+    m_trials.forget(parts);
+    publish(m_quarantine.onResponded(parts, m_reactor.now()));
 }
 
 void PromptGuard::onConnectionLost(
@@ -109,16 +161,21 @@
     for (const auto &report : reports)
         parts.insert(report.part);
     for (const auto part : parts) {
-        auto evidence = m_quarantine.evidenceOf(part, m_reactor.now());
-        // Only parts that have been blamed have a row to remove.
-        if (evidence.empty() && m_storedParts.erase(part) == 0)
-            continue;
-        if (!evidence.empty())
-            m_storedParts[part] = m_reactor.now();
-        m_store.save(part, std::move(evidence));
+        if (!saveEvidence(part, 0) && m_storedParts.erase(part) > 0)
+            m_store.save(part, {});
     }
 }
 
+bool PromptGuard::saveEvidence(std::uint64_t part, int failedTrials)
+{
+    auto evidence = m_quarantine.evidenceOf(part, m_reactor.now());
+    if (evidence.empty())
+        return false;
+    m_storedParts[part] = m_reactor.now();
+    m_store.save(part, std::move(evidence), {m_quarantine.hasSeparateCrashes(part), failedTrials});
+    return true;
+}
+
 void PromptGuard::renewStoredEvidence()
 {
     const auto now = m_reactor.now();
@@ -126,8 +183,7 @@
         if (now - storedAt < QuarantineStore::Lifetime / 2)
             continue;
         storedAt = now;
-        if (auto evidence = m_quarantine.evidenceOf(part, now); !evidence.empty())
-            m_store.save(part, std::move(evidence));
+        saveEvidence(part, 0);
     }
 }
 
@@ -140,6 +196,14 @@
         m_transport.sendToAll(reports);
 }
 
+void PromptGuard::logTrial(std::span<const std::uint64_t> parts, std::string_view result)
+{
+    for (const auto part : parts) {
+        m_log.info(LogEvent::PromptTrial,
+            LogFields().add("part", fmt::format("{:x}", part)).add("result", result));
+    }
+}
+
 void PromptGuard::logVerdict(const PromptReport &report, std::string_view source)
 {
     LogFields fields;
--- a/Libraries/Carawaykeel/Ingress/QuarantineStore.cpp
+++ b/Libraries/Carawaykeel/Ingress/QuarantineStore.cpp
@@ -2,7 +2,9 @@
 
 #include <Carawaykeel/Platform/RowCodec.h>
 
+#include <algorithm>
 #include <fmt/core.h>
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -13,6 +15,10 @@
 constexpr std::string_view KeyPrefix = "quarantine/";
 constexpr Base::Milliseconds MinRetryDelay{200};
 constexpr Base::Milliseconds MaxRetryDelay{2'000};
+constexpr Base::Milliseconds MinTrialDelay{2'000};
+constexpr Base::Milliseconds MaxTrialDelay{600'000};
+/// A failed trial crashes a server, so that the delay grows fast.
+constexpr std::int64_t TrialDelayFactor = 15;
 
 /// The evidence against one prompt part.
 struct QuarantineRow
@@ -20,11 +26,17 @@
     QuarantineStore::Evidence evidence;
     /// By the table's clock; zero if the table does not report it.
     std::int64_t writtenAt = 0;
+    /// When the part was quarantined or last tried, by the table's clock.
+    std::int64_t triedAt = 0;
+    bool hasSeparateCrashes = false;
+    std::int32_t failedTrials = 0;
+
+    QuarantineGrounds grounds() const { return {hasSeparateCrashes, failedTrials}; }
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(evidence, writtenAt);
+        archive(evidence, writtenAt, triedAt, hasSeparateCrashes, failedTrials);
     }
 };
 
@@ -40,6 +52,17 @@
         && tableNow->count() - row.writtenAt > QuarantineStore::Lifetime.count();
 }
 
+/// Returns nothing for a row of another version of this program; the part is found again.
+std::optional<QuarantineRow> tryDecode(const Platform::Row &row)
+{
+    auto outcome = Base::toOutcome<QuarantineRow>(
+        [&] { return Platform::tryDecodeRow<QuarantineRow>(row.value); });
+    auto *decoded = std::get_if<QuarantineRow>(&outcome);
+    if (!decoded || decoded->evidence.empty())
+        return std::nullopt;
+    return std::move(*decoded);
+}
+
 std::int64_t toCount(const std::optional<Base::Milliseconds> &time)
 {
     return time.value_or(Base::Milliseconds()).count();
@@ -67,11 +90,8 @@
             }
             Evidence evidence;
             for (const auto &row : reply.rows) {
-                auto outcome = Base::toOutcome<QuarantineRow>(
-                    [&] { return Platform::tryDecodeRow<QuarantineRow>(row.value); });
-                // A row of another version of this program is left out; the part is found again.
-                const auto *decoded = std::get_if<QuarantineRow>(&outcome);
-                if (!decoded || decoded->evidence.empty())
+                const auto decoded = tryDecode(row);
+                if (!decoded)
                     continue;
                 if (isExpired(*decoded, reply.serviceNow)) {
                     save(decoded->evidence.front().part, {});
@@ -83,13 +103,52 @@
         });
 }
 
-void QuarantineStore::save(std::uint64_t part, Evidence evidence)
+void QuarantineStore::save(std::uint64_t part, Evidence evidence, const QuarantineGrounds &grounds)
 {
     const auto generation = ++m_lastGeneration;
-    m_pendingWrites[part] = {std::move(evidence), generation};
+    auto &pending = m_pendingWrites[part];
+    pending.evidence = std::move(evidence);
+    pending.generation = generation;
+    // A write that is superseded before it was made still counts.
+    pending.addedGrounds.hasSeparateCrashes |= grounds.hasSeparateCrashes;
+    pending.addedGrounds.failedTrials += grounds.failedTrials;
     write(part, generation);
 }
 
+Base::Milliseconds QuarantineStore::trialDelay(const QuarantineGrounds &grounds)
+{
+    auto delay = MinTrialDelay;
+    const int steps = std::max(grounds.failedTrials, grounds.hasSeparateCrashes ? 1 : 0);
+    for (int n = 0; n < steps && delay < MaxTrialDelay; ++n)
+        delay = Base::Milliseconds(delay.count() * TrialDelayFactor);
+    return std::min(delay, MaxTrialDelay);
+}
+
+void QuarantineStore::claimTrial(
+    std::uint64_t part, std::function<void(const TrialClaim &)> callback)
+{
+    m_table.readRows({rowKey(part)},
+        [this, part, callback = std::move(callback)](const Platform::RowsReply &reply) {
+            const bool hasRow = reply.isReachable && reply.serviceNow && reply.rows.front();
+            auto decoded = hasRow ? tryDecode(*reply.rows.front()) : std::nullopt;
+            if (!decoded)
+                return callback({false, !reply.isReachable, MinTrialDelay});
+            const Base::Milliseconds elapsed(reply.serviceNow->count() - decoded->triedAt);
+            const auto delay = trialDelay(decoded->grounds());
+            if (elapsed < delay)
+                return callback({false, true, delay - elapsed});
+            decoded->triedAt = reply.serviceNow->count();
+            Platform::Transaction transaction;
+            transaction.put(
+                rowKey(part), Platform::encodeRow(*decoded), reply.rows.front()->version);
+            m_table.commit(
+                std::move(transaction), [callback, delay](const Platform::CommitReply &commit) {
+                    const bool isGranted = commit.outcome == Platform::CommitOutcome::Committed;
+                    callback({isGranted, true, delay});
+                });
+        });
+}
+
 void QuarantineStore::write(std::uint64_t part, std::uint64_t generation)
 {
     const auto it = m_pendingWrites.find(part);
@@ -106,10 +165,16 @@
         const auto version = row ? row->version : Platform::AbsentVersion;
         Platform::Transaction transaction;
         if (!pending->second.evidence.empty()) {
-            transaction.put(rowKey(part),
-                Platform::encodeRow(
-                    QuarantineRow{pending->second.evidence, toCount(reply.serviceNow)}),
-                version);
+            const auto &added = pending->second.addedGrounds;
+            const auto now = toCount(reply.serviceNow);
+            auto next = row ? tryDecode(*row).value_or(QuarantineRow()) : QuarantineRow();
+            next.evidence = pending->second.evidence;
+            next.writtenAt = now;
+            if (next.triedAt == 0 || added.failedTrials > 0)
+                next.triedAt = now;
+            next.hasSeparateCrashes |= added.hasSeparateCrashes;
+            next.failedTrials += added.failedTrials;
+            transaction.put(rowKey(part), Platform::encodeRow(next), version);
         } else if (row) {
             transaction.remove(rowKey(part), version);
         } else {
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -74,7 +74,7 @@
           [this](const auto &backlogs) { m_membership->sendBacklogs(backlogs); })
     , m_promptReportTransport(m_membership)
     , m_quarantineStore(m_dependencies.table, reactor, m_random)
-    , m_promptGuard(reactor, m_promptReportTransport, m_quarantineStore, m_log)
+    , m_promptGuard(reactor, m_promptReportTransport, m_quarantineStore, m_random, m_log)
     , m_serverConnections(reactor, m_dependencies.dialect)
     , m_peerTransport(
           m_self.id, m_settings.peerAddress, MaxFrameBytes, m_codec, reactor, m_log,
--- a/Libraries/Carawaykeel/Logging/LogEvent.cpp
+++ b/Libraries/Carawaykeel/Logging/LogEvent.cpp
@@ -47,6 +47,8 @@
         return "prompt_part_quarantined";
     case LogEvent::PromptPartSound:
         return "prompt_part_sound";
+    case LogEvent::PromptTrial:
+        return "prompt_trial";
     case LogEvent::ServerEntryRemoved:
         return "server_entry_removed";
     case LogEvent::ServerLeavingRelayed:
--- a/Libraries/Carawaykeel/Logging/LogEvent.h
+++ b/Libraries/Carawaykeel/Logging/LogEvent.h
@@ -27,6 +27,7 @@
     PromptPartSuspected,
     PromptPartQuarantined,
     PromptPartSound,
+    PromptTrial,
     ServerEntryRemoved,
     ServerLeavingRelayed,
     ServerLeavingAnswered,
--- a/Tests/Forwarding/PromptQuarantineTest.cpp
+++ b/Tests/Forwarding/PromptQuarantineTest.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(repeatedEvidenceIsTheSameCrash);
     CPPUNIT_TEST(otherInstancesContradictAWrongQuarantine);
     CPPUNIT_TEST(expiredQuarantineStartsAgainWithOneCrash);
+    CPPUNIT_TEST(crashesApartInTimeHaveNoCommonCause);
     CPPUNIT_TEST(suspectsAreBounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -213,6 +214,19 @@
         CPPUNIT_ASSERT(quarantine.isRejected(Parts{Deadly}, m_now));
     }
 
+    void crashesApartInTimeHaveNoCommonCause()
+    {
+        PromptQuarantine quarantine;
+        for (int n = 0; n < 3; ++n)
+            crash(quarantine, n, {Deadly});
+        CPPUNIT_ASSERT(quarantine.isRejected(Parts{Deadly}, m_now));
+        CPPUNIT_ASSERT(!quarantine.hasSeparateCrashes(Deadly));
+        m_now += PromptQuarantinePolicy().commonCauseWindow;
+        crash(quarantine, 3, {Deadly});
+        CPPUNIT_ASSERT(quarantine.hasSeparateCrashes(Deadly));
+        CPPUNIT_ASSERT(!quarantine.hasSeparateCrashes(First));
+    }
+
     void suspectsAreBounded()
     {
         PromptQuarantinePolicy policy;
--- a/Tests/Ingress/QuarantineStoreTest.cpp
+++ b/Tests/Ingress/QuarantineStoreTest.cpp
@@ -36,6 +36,14 @@
         return *loaded;
     }
 
+    /// Returns the reply to a claim that arrives later.
+    std::shared_ptr<std::optional<Ingress::TrialClaim>> claim()
+    {
+        auto reply = std::make_shared<std::optional<Ingress::TrialClaim>>();
+        store.claimTrial(Part, [reply](const auto &claim) { *reply = claim; });
+        return reply;
+    }
+
     WorldScheduler scheduler;
     FakeTableClient client;
     QuarantineStore store;
@@ -51,6 +59,9 @@
     CPPUNIT_TEST(callsAreRepeatedAfterAnOutage);
     CPPUNIT_TEST(concurrentWritersEndWithOneRow);
     CPPUNIT_TEST(removedAndExpiredEvidenceIsNotLoaded);
+    CPPUNIT_TEST(oneInstanceGetsTheTrial);
+    CPPUNIT_TEST(trialsGetRarerAsTheyFail);
+    CPPUNIT_TEST(noTrialWithoutTheTable);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -110,6 +121,67 @@
         CPPUNIT_ASSERT(late.load(world).value().empty());
         CPPUNIT_ASSERT(table.range("quarantine/").empty());
     }
+
+    /// Guards against several instances that try a deadly part at the same time.
+    void oneInstanceGetsTheTrial()
+    {
+        VirtualWorld world(5);
+        FakeTable table(world);
+        Process one(world, table);
+        Process two(world, table);
+        one.store.save(Part, Quarantined);
+        world.run(Base::Milliseconds(100));
+        const auto early = two.claim();
+        world.run(Base::Milliseconds(100));
+        CPPUNIT_ASSERT(!early->value().isGranted);
+        world.run(early->value().retryIn);
+        const auto first = one.claim();
+        const auto second = two.claim();
+        world.run(Base::Milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(1, int(first->value().isGranted) + int(second->value().isGranted));
+        const auto third = two.claim();
+        world.run(Base::Milliseconds(100));
+        CPPUNIT_ASSERT(!third->value().isGranted);
+    }
+
+    void trialsGetRarerAsTheyFail()
+    {
+        VirtualWorld world(6);
+        FakeTable table(world);
+        Process process(world, table);
+        process.store.save(Part, Quarantined);
+        const auto shortest = QuarantineStore::trialDelay({});
+        auto longest = shortest;
+        for (int n = 0; n < 4; ++n) {
+            process.store.save(Part, Quarantined, {false, 1});
+            world.run(Base::Milliseconds(100));
+            const auto claim = process.claim();
+            world.run(Base::Milliseconds(100));
+            CPPUNIT_ASSERT(!claim->value().isGranted);
+            CPPUNIT_ASSERT(claim->value().retryIn >= longest - Base::Milliseconds(200));
+            longest = claim->value().retryIn;
+        }
+        CPPUNIT_ASSERT(longest > shortest * 100);
+        // Evidence that is saved again keeps the number of failed trials.
+        process.store.save(Part, Quarantined);
+        const auto claim = process.claim();
+        world.run(Base::Milliseconds(100));
+        CPPUNIT_ASSERT(claim->value().retryIn > shortest * 100);
+    }
+
+    void noTrialWithoutTheTable()
+    {
+        VirtualWorld world(7);
+        FakeTable table(world);
+        Process process(world, table);
+        process.store.save(Part, Quarantined);
+        world.run(QuarantineStore::trialDelay({}) + Base::Milliseconds(100));
+        table.isDown = true;
+        const auto claim = process.claim();
+        world.run(Base::Milliseconds(1'000));
+        CPPUNIT_ASSERT(!claim->value().isGranted);
+        CPPUNIT_ASSERT(claim->value().isPartStored);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuarantineStoreTest);
--- a/Tests/Support/RouterHarness.cpp
+++ b/Tests/Support/RouterHarness.cpp
@@ -35,7 +35,7 @@
     , m_retryBudget(RetryPolicy, Base::Milliseconds() - RetryPolicy.window)
     , m_backlogBroadcaster(m_reactor, m_serverPool, [](const auto &) {})
     , m_quarantineStore(m_table, m_reactor, m_random)
-    , m_promptGuard(m_reactor, m_otherInstances, m_quarantineStore, m_log)
+    , m_promptGuard(m_reactor, m_otherInstances, m_quarantineStore, m_random, m_log)
     , m_serverConnections(m_reactor, m_dialect)
     , m_context{m_reactor, m_dialect, m_serverPool, m_retryBudget, m_backlogBroadcaster,
           m_promptGuard, m_metrics, m_serverConnections, m_tokenBudget, m_log, m_random,
--- a/Tests/Support/RouterHarness.h
+++ b/Tests/Support/RouterHarness.h
@@ -6,7 +6,7 @@
 #include <platform/PlatformDialect.h>
 
 #include <Support/MemoryLogSink.h>
-#include <Support/UnreachableTable.h>
+#include <Support/MemoryTable.h>
 
 #include <memory>
 #include <string>
@@ -27,7 +27,7 @@
     bool isMalformed = false;
 };
 
-/// A router that forwards requests over loopback sockets, without table service, peers and budgets.
+/// A router that forwards requests over loopback sockets, without peers and budgets.
 class RouterHarness
 {
 public:
@@ -79,7 +79,7 @@
     Forwarding::RetryBudget m_retryBudget;
     Ingress::BacklogBroadcaster m_backlogBroadcaster;
     NoOtherInstances m_otherInstances;
-    UnreachableTable m_table{m_reactor};
+    MemoryTable m_table{m_reactor};
     Ingress::QuarantineStore m_quarantineStore;
     Ingress::PromptGuard m_promptGuard;
     Ingress::RouterMetrics m_metrics;
