Budget: Write the rows of many teams in several calls

Cause: a report put the rows of all teams into one transaction, two entries a row; the platform takes 100 entries and refused every call. The refusal was repeated unchanged. Ruled out: conflicts between reports, since no row at all was written, also by a single instance.

Change: the table service's client names its limits, and a report is split into transactions within them. A conflict repeats one of them; after a call without a reply the next report begins with the teams that were not reached.

--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.h
@@ -43,7 +43,8 @@
     std::int64_t tokensWrittenOff = 0;
 };
 
-/// Holds this instance's allotments and reports their use for all teams in one transaction. In a
+/// Holds this instance's allotments and reports their use for all teams, in as few transactions as
+/// the table service's limits allow. In a
 /// large fleet a few instances hold allotments of a team, and the others borrow from them.
 class AllotmentHolder : public TokenBudget, public LendingDelegate
 {
@@ -173,7 +174,9 @@
     void onRowsRead(bool isReachable, std::optional<Base::Milliseconds> serviceNow,
         const std::vector<Platform::Row> &rows, int remainingTries);
     void adoptRow(const Base::TeamId &team, Account &account, const Platform::Row *row);
-    void commitReport(int remainingTries);
+    void commitBatch(int remainingTries);
+    void commitNextBatch();
+    Platform::Transaction planBatch();
     AllotmentRow planRow(const Base::TeamId &team, Account &account, Base::Milliseconds serviceNow);
     static void finishRelinquishing(Account &account);
     bool tryPlanRelinquishing(const Base::TeamId &team, Account &account, AllotmentRow &next) const;
@@ -183,7 +186,8 @@
     Allotment planAllotment(const Account &account, Base::Tokens available) const;
     void checkOverdraft(const Base::TeamId &team, const Account &account);
     void onCommitReply(const Platform::CommitReply &reply, int remainingTries);
-    void retryReport(int remainingTries);
+    void retryBatch(int remainingTries);
+    void putUnreportedTeamsFirst();
     void finishReport(bool isReachable);
     void grantPendingHolds(const Base::TeamId &team, Account &account);
     void refusePendingHolds(Account &account);
@@ -210,8 +214,12 @@
     Accounts m_accounts;
     /// The teams whose rows the report in progress reads.
     std::vector<Base::TeamId> m_reportedTeams;
+    /// Teams of the report in progress whose rows may still have to be written.
+    std::deque<Base::TeamId> m_unwrittenTeams;
     /// The teams whose rows the commit in progress writes.
     std::vector<Base::TeamId> m_writtenTeams;
+    /// The next report writes this team and those after it first, since the last one did not.
+    std::optional<Base::TeamId> m_firstTeam;
     Peer::PeerTransport &m_peers;
     const PeerSource m_livePeers;
     TokenLending m_lending;
@@ -223,6 +231,8 @@
     /// only the rows that concern this instance are read.
     bool m_hasClosedPredecessors = false;
     bool m_isReporting = false;
+    /// A batch of the report in progress was given up after conflicts.
+    bool m_hasSkippedBatch = false;
     bool m_isReportScheduled = false;
     bool m_isTableReachable = false;
     bool m_isReturningAll = false;
--- a/Libraries/Carawaykeel/Budget/AllotmentReports.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentReports.cpp
@@ -105,9 +105,21 @@
         return m_isReturningAll ? finishReport(true) : void();
     }
     m_isReporting = true;
+    putUnreportedTeamsFirst();
+    m_unwrittenTeams.clear();
+    m_hasSkippedBatch = false;
     readRows(m_policy.maxConflictTries);
 }
 
+void AllotmentHolder::putUnreportedTeamsFirst()
+{
+    // Otherwise failures of the first batches would keep the later ones from the table.
+    if (const auto first = std::exchange(m_firstTeam, std::nullopt)) {
+        std::ranges::rotate(m_reportedTeams,
+            std::lower_bound(m_reportedTeams.begin(), m_reportedTeams.end(), *first));
+    }
+}
+
 void AllotmentHolder::readRows(int remainingTries)
 {
     if (m_reportedTeams.size() * RangeReadDivisor > m_accounts.size()) {
@@ -162,7 +174,9 @@
         const auto it = rowsByKey.find(rowKey(team));
         adoptRow(team, m_accounts.at(team), it == rowsByKey.end() ? nullptr : it->second);
     }
-    commitReport(remainingTries);
+    m_unwrittenTeams.insert(
+        m_unwrittenTeams.begin(), m_reportedTeams.begin(), m_reportedTeams.end());
+    commitBatch(remainingTries);
 }
 
 void AllotmentHolder::adoptRow(const Base::TeamId &team, Account &account, const Platform::Row *row)
@@ -204,13 +218,16 @@
         m_observer->onOverdrawn(team, account.spent, total, account.version);
 }
 
-void AllotmentHolder::commitReport(int remainingTries)
+Platform::Transaction AllotmentHolder::planBatch()
 {
     const auto serviceNow = *m_clock.earliestNow(m_scheduler.now());
+    const auto limits = m_table.transactionLimits();
     Platform::Transaction transaction;
     m_writtenTeams.clear();
     m_closings.clear();
-    for (const auto &team : m_reportedTeams) {
+    while (!m_unwrittenTeams.empty() && limits.hasRoomIn(transaction)) {
+        const auto team = m_unwrittenTeams.front();
+        m_unwrittenTeams.pop_front();
         auto &account = m_accounts.at(team);
         if (!needsWrite(team, account))
             continue;
@@ -223,8 +240,14 @@
         const auto *own = account.row.find(m_self);
         account.possibleAllotments.push_back(own ? *own : Allotment());
     }
+    return transaction;
+}
+
+void AllotmentHolder::commitBatch(int remainingTries)
+{
+    auto transaction = planBatch();
     if (m_writtenTeams.empty()) {
-        m_hasClosedPredecessors = true;
+        m_hasClosedPredecessors = m_hasClosedPredecessors || !m_hasSkippedBatch;
         return finishReport(true);
     }
     m_commitSentAt = m_scheduler.now();
@@ -324,21 +347,32 @@
         for (const auto &team : m_writtenTeams)
             m_accounts.at(team).version = reply.version;
         onCommitApplied();
-        return finishReport(true);
+        return commitNextBatch();
     case Platform::CommitOutcome::Conflict:
     case Platform::CommitOutcome::Refused:
         ++(reply.outcome == Platform::CommitOutcome::Conflict ? m_counters.reportConflicts
                                                               : m_counters.reportsRefused);
         onCommitRejected();
-        if (remainingTries <= 1)
-            return finishReport(true);
-        return retryReport(remainingTries - 1);
+        if (remainingTries <= 1) {
+            m_hasSkippedBatch = true;
+            return commitNextBatch();
+        }
+        return retryBatch(remainingTries - 1);
     case Platform::CommitOutcome::Unknown:
         break;
     }
+    if (!m_unwrittenTeams.empty())
+        m_firstTeam = m_unwrittenTeams.front();
     finishReport(false);
 }
 
+void AllotmentHolder::commitNextBatch()
+{
+    for (const auto &team : m_writtenTeams)
+        grantPendingHolds(team, m_accounts.at(team));
+    commitBatch(m_policy.maxConflictTries);
+}
+
 void AllotmentHolder::onCommitApplied()
 {
     for (const auto &team : m_writtenTeams) {
@@ -356,7 +390,6 @@
         if (m_observer)
             m_observer->onAllotmentClosed(closing.team, closing.allotment, closing.countedAsSpent);
     }
-    m_hasClosedPredecessors = true;
 }
 
 void AllotmentHolder::onCommitRejected()
@@ -374,8 +407,9 @@
     }
 }
 
-void AllotmentHolder::retryReport(int remainingTries)
+void AllotmentHolder::retryBatch(int remainingTries)
 {
+    m_reportedTeams = m_writtenTeams;
     std::uniform_int_distribution<std::int64_t> delay(0, m_policy.maxConflictRetryDelay.count());
     m_scheduler.schedule(
         Base::Milliseconds(delay(m_random)), [this, remainingTries] { readRows(remainingTries); });
--- a/Libraries/Carawaykeel/Platform/TableCircuitBreaker.h
+++ b/Libraries/Carawaykeel/Platform/TableCircuitBreaker.h
@@ -17,6 +17,7 @@
 
     void readRows(std::vector<std::string> keys, std::function<void(RowsReply)> callback) override;
     void readRange(std::string prefix, std::function<void(RangeReply)> callback) override;
+    TransactionLimits transactionLimits() const override { return m_table.transactionLimits(); }
     void commit(Transaction transaction, std::function<void(CommitReply)> callback) override;
 
     bool isOpen() const { return m_consecutiveFailures >= FailuresToOpen; }
--- a/Libraries/Carawaykeel/Platform/TableService.h
+++ b/Libraries/Carawaykeel/Platform/TableService.h
@@ -44,7 +44,10 @@
     /// Reads all rows whose keys start with a prefix, all at one point in time.
     virtual void readRange(std::string prefix, std::function<void(RangeReply)> callback) = 0;
 
-    /// Commits a transaction if all its rows have the expected versions.
+    /// Returns what one commit may contain.
+    virtual TransactionLimits transactionLimits() const { return {}; }
+
+    /// Commits a transaction within the limits if all its rows have the expected versions.
     virtual void commit(Transaction transaction, std::function<void(CommitReply)> callback) = 0;
 };
 
--- a/Libraries/Carawaykeel/Platform/Transaction.h
+++ b/Libraries/Carawaykeel/Platform/Transaction.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +28,15 @@
 {
     std::vector<RowWrite> writes;
 
+    /// Returns the number of bytes of all keys and values.
+    std::size_t byteCount() const
+    {
+        std::size_t n = 0;
+        for (const auto &write : writes)
+            n += write.key.size() + (write.value ? write.value->size() : 0);
+        return n;
+    }
+
     void put(std::string key, std::string value, std::uint64_t expectedVersion)
     {
         writes.push_back(RowWrite{std::move(key), std::move(value), expectedVersion});
@@ -36,6 +47,28 @@
     }
 };
 
+/// What the table service takes in one call. Without limits by default.
+struct TransactionLimits
+{
+    std::size_t maxWrites = std::numeric_limits<std::size_t>::max();
+    /// Maximum number of bytes of all keys and values.
+    std::size_t maxBytes = std::numeric_limits<std::size_t>::max();
+    /// Maximum number of bytes of one key and value.
+    std::size_t maxRowBytes = 0;
+
+    bool isExceededBy(const Transaction &transaction) const
+    {
+        return transaction.writes.size() > maxWrites || transaction.byteCount() > maxBytes;
+    }
+
+    /// Returns true if the transaction can take another row of any size.
+    bool hasRoomIn(const Transaction &transaction) const
+    {
+        return transaction.writes.size() < maxWrites
+            && transaction.byteCount() + maxRowBytes <= maxBytes;
+    }
+};
+
 /// How a transaction ended.
 enum class CommitOutcome {
     Committed,
--- a/Tests/Support/AllotmentFleet.cpp
+++ b/Tests/Support/AllotmentFleet.cpp
@@ -7,7 +7,10 @@
 
 namespace {
 
-const Base::TeamId Team("team");
+Base::TeamId teamOf(int team)
+{
+    return Base::TeamId("team-" + std::to_string(team));
+}
 
 } // namespace
 
@@ -137,12 +140,13 @@
     Base::Milliseconds m_totalPause;
 };
 
-AllotmentFleet::AllotmentFleet(VirtualWorld &world, int instances, std::int64_t prepaid)
+AllotmentFleet::AllotmentFleet(VirtualWorld &world, int instances, std::int64_t prepaid, int teams)
     : m_world(world)
     , m_table(world)
     , m_network(world)
     , m_instances(static_cast<std::size_t>(instances))
     , m_prepaid(prepaid)
+    , m_used(static_cast<std::size_t>(teams))
 {
     startAll();
 }
@@ -155,7 +159,15 @@
         *this, Base::InstanceId{Base::InstanceName(nameOf(instance)), ++m_lastIncarnation});
     m_instances.at(static_cast<std::size_t>(instance)) = incarnation;
     incarnation->start();
-    incarnation->holder().setPrepaid({{Team, Base::Tokens(m_prepaid)}});
+    incarnation->holder().setPrepaid(prepaidByTeam());
+}
+
+std::vector<Budget::PrepaidTokens> AllotmentFleet::prepaidByTeam() const
+{
+    std::vector<Budget::PrepaidTokens> prepaid;
+    for (int team = 0; team < teamCount(); ++team)
+        prepaid.push_back({teamOf(team), Base::Tokens(m_prepaid)});
+    return prepaid;
 }
 
 std::vector<Base::InstanceId> AllotmentFleet::peersOf(const Base::InstanceId &self) const
@@ -198,8 +210,14 @@
 void AllotmentFleet::topUp(std::int64_t tokens)
 {
     m_prepaid += tokens;
+    setTeamCount(teamCount());
+}
+
+void AllotmentFleet::setTeamCount(int teams)
+{
+    m_used.resize(static_cast<std::size_t>(teams));
     for (const auto &incarnation : m_instances)
-        incarnation->holder().setPrepaid({{Team, Base::Tokens(m_prepaid)}});
+        incarnation->holder().setPrepaid(prepaidByTeam());
 }
 
 Budget::AllotmentHolder &AllotmentFleet::holder(int instance)
@@ -207,19 +225,19 @@
     return m_instances.at(static_cast<std::size_t>(instance))->holder();
 }
 
-void AllotmentFleet::request(int instance, std::int64_t tokens)
+void AllotmentFleet::request(int instance, std::int64_t tokens, int team)
 {
     const auto incarnation = m_instances.at(static_cast<std::size_t>(instance));
-    incarnation->schedule(Base::Milliseconds(), [this, incarnation, tokens] {
-        incarnation->holder().hold(Team, Base::Tokens(tokens),
-            [this, incarnation, tokens](Base::Outcome<Budget::TokenHold> outcome) {
-                onHold(incarnation, tokens, std::move(outcome));
+    incarnation->schedule(Base::Milliseconds(), [this, incarnation, tokens, team] {
+        incarnation->holder().hold(teamOf(team), Base::Tokens(tokens),
+            [this, incarnation, tokens, team](Base::Outcome<Budget::TokenHold> outcome) {
+                onHold(incarnation, tokens, team, std::move(outcome));
             });
     });
 }
 
 void AllotmentFleet::onHold(const std::shared_ptr<Incarnation> &incarnation, std::int64_t tokens,
-    Base::Outcome<Budget::TokenHold> outcome)
+    int team, Base::Outcome<Budget::TokenHold> outcome)
 {
     if (const auto *failure = std::get_if<Base::Failure>(&outcome)) {
         ++(failure->kind == Base::ErrorKind::BudgetExhausted ? m_counts.exhausted
@@ -229,7 +247,7 @@
     ++m_counts.granted;
     // The tokens count as used even if the instance dies.
     const auto used = m_world.draw(tokens / 2, tokens);
-    m_used += used;
+    m_used.at(static_cast<std::size_t>(team)) += used;
     const auto hold = std::get<Budget::TokenHold>(outcome);
     incarnation->schedule(Base::Milliseconds(m_world.draw(50, 3'000)),
         [incarnation, hold, used] { incarnation->holder().settle(hold, Base::Tokens(used)); });
--- a/Tests/Support/AllotmentFleet.h
+++ b/Tests/Support/AllotmentFleet.h
@@ -23,16 +23,16 @@
     std::int64_t refused() const { return exhausted + unavailable; }
 };
 
-/// Instances that hold allotments of one team in virtual time, and a record of the tokens actually
-/// used.
+/// Instances that hold allotments of some teams in virtual time, and a record of the tokens
+/// actually used. All teams have the same number of prepaid tokens.
 class AllotmentFleet
 {
 public:
-    AllotmentFleet(VirtualWorld &world, int instances, std::int64_t prepaid);
+    AllotmentFleet(VirtualWorld &world, int instances, std::int64_t prepaid, int teams = 1);
     ~AllotmentFleet();
 
     /// Sends a request to an instance. It uses some or all of the held tokens and ends later.
-    void request(int instance, std::int64_t tokens);
+    void request(int instance, std::int64_t tokens, int team = 0);
 
     /// Kills an instance. The tokens used by its requests have been counted already.
     void kill(int instance);
@@ -41,9 +41,12 @@
     void startAll();
     void pause(int instance, Base::Milliseconds span);
     void topUp(std::int64_t tokens);
+    /// Announces teams to all instances, as a change of the configuration does.
+    void setTeamCount(int teams);
 
     bool isAlive(int instance) const;
-    std::int64_t used() const { return m_used; }
+    std::int64_t used(int team = 0) const { return m_used.at(static_cast<std::size_t>(team)); }
+    int teamCount() const { return static_cast<int>(m_used.size()); }
     std::int64_t prepaid() const { return m_prepaid; }
     /// Number of times that an instance had spent more than its allotment in the table.
     int overdrafts() const { return m_overdrafts; }
@@ -59,7 +62,8 @@
 
     std::vector<Base::InstanceId> peersOf(const Base::InstanceId &self) const;
 
-    void onHold(const std::shared_ptr<Incarnation> &incarnation, std::int64_t tokens,
+    std::vector<Budget::PrepaidTokens> prepaidByTeam() const;
+    void onHold(const std::shared_ptr<Incarnation> &incarnation, std::int64_t tokens, int team,
         Base::Outcome<Budget::TokenHold> outcome);
 
     VirtualWorld &m_world;
@@ -67,7 +71,7 @@
     FakeNetwork m_network;
     std::vector<std::shared_ptr<Incarnation>> m_instances;
     std::int64_t m_prepaid;
-    std::int64_t m_used = 0;
+    std::vector<std::int64_t> m_used;
     std::uint64_t m_lastIncarnation = 0;
     HoldOutcomeCounts m_counts;
     int m_overdrafts = 0;
--- a/Tests/Support/FakeTable.cpp
+++ b/Tests/Support/FakeTable.cpp
@@ -146,6 +146,11 @@
     call<Platform::CommitReply>(
         [&table = m_table, transaction = std::move(transaction)] {
             ++table.writes;
+            if (table.limits.isExceededBy(transaction)) {
+                // Like the platform, whose response tells no more than that the call was bad.
+                ++table.oversizedCalls;
+                return Platform::CommitReply();
+            }
             return table.apply(transaction);
         },
         std::move(callback), true);
--- a/Tests/Support/FakeTable.h
+++ b/Tests/Support/FakeTable.h
@@ -48,6 +48,9 @@
     double refusal = 0;
     /// Added to the delay of every call and of its reply.
     Base::Milliseconds extraDelay;
+    /// What one commit may contain. Calls with more are refused and counted.
+    Platform::TransactionLimits limits;
+    std::uint64_t oversizedCalls = 0;
     std::uint64_t reads = 0;
     std::uint64_t writes = 0;
     Mutation mutation = Mutation::None;
@@ -71,6 +74,7 @@
     void readRows(
         std::vector<std::string> keys, std::function<void(Platform::RowsReply)> callback) override;
     void readRange(std::string prefix, std::function<void(Platform::RangeReply)> callback) override;
+    Platform::TransactionLimits transactionLimits() const override { return m_table.limits; }
     void commit(Platform::Transaction transaction,
         std::function<void(Platform::CommitReply)> callback) override;
 
