Ingress: Bound the bytes held for others in sum

What callers would have seen: a faulty server that sends without end to many requests at once makes the instance run out of memory, and the requests of other callers there end with the process (report of other operators).

Cause: limits existed for each response only (64 KB head, 4 MiB body, 1 MiB event), none in sum. Ruled out: that a limit of one request fails; ExchangeTest's three endless responses passed before.

Change: one account of what is held for callers, servers and other instances, against a part of the VM's memory (vm.memory_mb, vm.buffer_share). Less is buffered for slow callers from half of it on, new requests are rejected from three quarters on, and above it buffers are given up, first those of the server whose responses occupy most. Kept connections free large buffers.

Evidence: EndlessResponsesTest::responsesUntilCloseStayWithinTheMemory grew by 262 MB on the code before with 60 requests (limit 88 MB, the smallest VM) and passes; its second test passed before too. BufferAccountTest (5), ExchangeTest (28), PlannedStopTest pass; a change of the buffers' lifetime after these runs was only compiled and is covered by the next run of all tests.

--- a/Libraries/Carawaykeel/Base/ErrorKind.h
+++ b/Libraries/Carawaykeel/Base/ErrorKind.h
@@ -25,6 +25,7 @@
     QueueTimeout,
     NoServerAvailable,
     PromptQuarantined,
+    MemoryFull,
     ServerRefused,
     ServerFailed,
     ServerTimeout,
--- a/Libraries/Carawaykeel/Base/ErrorTable.cpp
+++ b/Libraries/Carawaykeel/Base/ErrorTable.cpp
@@ -56,6 +56,8 @@
     ErrorResponse{ErrorKind::PromptQuarantined, "prompt_quarantined", 503,
         ExecutionStatus::NotExecuted, Unavailable,
         "change the prompt: requests with one of its parts crash servers"},
+    ErrorResponse{ErrorKind::MemoryFull, "memory_full", 503, ExecutionStatus::NotExecuted,
+        Unavailable, "retry at another address"},
     ErrorResponse{ErrorKind::ServerRefused, "server_refused", 502, ExecutionStatus::NotExecuted,
         ServerError, "retry"},
     ErrorResponse{ErrorKind::ServerFailed, "server_broke", 502, ExecutionStatus::Unknown,
--- a/Libraries/Carawaykeel/Ingress/CallerConnection.cpp
+++ b/Libraries/Carawaykeel/Ingress/CallerConnection.cpp
@@ -17,18 +17,26 @@
 constexpr std::size_t CongestionThreshold = 262'144;
 /// ...and resumes when fewer than this are left.
 constexpr std::size_t ResumeThreshold = 65'536;
+/// The same while the instance holds many bytes.
+constexpr std::size_t TightCongestionThreshold = 16'384;
+constexpr std::size_t TightResumeThreshold = 4'096;
+/// An empty buffer of more bytes is freed.
+constexpr std::size_t MaxIdleBufferBytes = 16'384;
 /// How long a connection is still read after its last response, so that the response arrives.
 constexpr Base::Milliseconds LingerTime{1'000};
 
 } // namespace
 
 CallerConnection::CallerConnection(Net::Reactor &reactor, const Poco::Net::StreamSocket &socket,
-    RequestHandler &handler, LimitsProvider limitsProvider,
+    RequestHandler &handler, LimitsProvider limitsProvider, BufferAccount &buffers,
     std::function<void(CallerConnection &)> onClosed)
     : m_reactor(reactor)
     , m_socket(reactor, socket, *this)
     , m_handler(handler)
     , m_limitsProvider(std::move(limitsProvider))
+    , m_buffers(buffers)
+    , m_requestBuffer(buffers, BufferKind::Request, this)
+    , m_unsentBuffer(buffers, BufferKind::UnsentResponse, this)
     , m_onClosed(std::move(onClosed))
 {
 }
@@ -63,7 +71,8 @@
             m_socket.shutdownSend();
         if (m_closesAfterResponse)
             closeIfIdle();
-        if (m_isCongested && m_socket.unsentBytes() < ResumeThreshold) {
+        const auto resumeThreshold = m_buffers.isTight() ? TightResumeThreshold : ResumeThreshold;
+        if (m_isCongested && m_socket.unsentBytes() < resumeThreshold) {
             m_isCongested = false;
             if (m_request)
                 m_request->onCallerWritable();
@@ -71,6 +80,29 @@
     }
     if (m_state != State::Closed && (readiness.canRead || readiness.hasError))
         readAvailable();
+    updateBuffers();
+}
+
+void CallerConnection::updateBuffers()
+{
+    if (m_received.empty() && m_received.capacity() > MaxIdleBufferBytes)
+        m_received = {};
+    const bool isOpen = m_state != State::Closed;
+    m_requestBuffer.set(isOpen ? m_received.capacity() + m_body.capacity() : 0);
+    m_unsentBuffer.set(isOpen ? m_socket.bufferedBytes() : 0);
+}
+
+void CallerConnection::onBufferReclaimed(BufferKind kind)
+{
+    const auto self = shared_from_this();
+    if (kind == BufferKind::UnsentResponse)
+        return onDisconnected();
+    // A request that is being handled needs its bytes no more.
+    if (m_state != State::Reading)
+        return;
+    m_received = {};
+    m_body = {};
+    reject(Base::ErrorKind::MemoryFull);
 }
 
 void CallerConnection::readAvailable()
@@ -237,7 +269,8 @@
 
 bool CallerConnection::isCongested() const
 {
-    return m_socket.unsentBytes() > CongestionThreshold;
+    return m_socket.unsentBytes()
+        > (m_buffers.isTight() ? TightCongestionThreshold : CongestionThreshold);
 }
 
 void CallerConnection::send(std::string_view bytes)
@@ -252,6 +285,7 @@
         return;
     }
     m_isCongested = m_isCongested || isCongested();
+    updateBuffers();
 }
 
 void CallerConnection::finishResponse()
--- a/Libraries/Carawaykeel/Ingress/CallerConnection.h
+++ b/Libraries/Carawaykeel/Ingress/CallerConnection.h
@@ -2,6 +2,7 @@
 
 #include <Carawaykeel/Forwarding/RouterConfiguration.h>
 #include <Carawaykeel/Http/BodyDecoder.h>
+#include <Carawaykeel/Ingress/BufferAccount.h>
 #include <Carawaykeel/Ingress/RequestHandler.h>
 #include <Carawaykeel/Net/BufferedSocket.h>
 
@@ -15,13 +16,14 @@
 /// A caller's connection. Reads requests one after the other and sends the responses in order.
 class CallerConnection : public Net::SocketHandler,
                          public ResponseWriter,
+                         public BufferOwner,
                          public std::enable_shared_from_this<CallerConnection>
 {
 public:
     using LimitsProvider = std::function<Forwarding::CallerLimits()>;
 
     CallerConnection(Net::Reactor &reactor, const Poco::Net::StreamSocket &socket,
-        RequestHandler &handler, LimitsProvider limitsProvider,
+        RequestHandler &handler, LimitsProvider limitsProvider, BufferAccount &buffers,
         std::function<void(CallerConnection &)> onClosed);
 
     /// Starts reading. Call once, after a shared pointer owns the connection.
@@ -37,6 +39,7 @@
     bool hasUnsentBytes() const { return m_socket.unsentBytes() > 0; }
 
     void onReady(Net::Readiness readiness) override;
+    void onBufferReclaimed(BufferKind kind) override;
 
     void sendResponse(Poco::Net::HTTPResponse &head, std::string_view body) override;
     void beginStream(Poco::Net::HTTPResponse &head) override;
@@ -48,6 +51,7 @@
 private:
     enum class State { Reading, Handling, Lingering, Closed };
 
+    void updateBuffers();
     void readAvailable();
     void parse();
     bool parseHead();
@@ -70,6 +74,9 @@
     Net::BufferedSocket m_socket;
     RequestHandler &m_handler;
     LimitsProvider m_limitsProvider;
+    BufferAccount &m_buffers;
+    HeldBuffer m_requestBuffer;
+    HeldBuffer m_unsentBuffer;
     std::function<void(CallerConnection &)> m_onClosed;
     State m_state = State::Reading;
     std::string m_received;
--- a/Libraries/Carawaykeel/Ingress/CallerListener.cpp
+++ b/Libraries/Carawaykeel/Ingress/CallerListener.cpp
@@ -8,11 +8,12 @@
 
 CallerListener::CallerListener(Net::Reactor &reactor, const std::string &address,
     RequestHandler &handler, CallerConnection::LimitsProvider limitsProvider,
-    std::size_t maxConnections)
+    std::size_t maxConnections, BufferAccount &buffers)
     : m_reactor(reactor)
     , m_handler(handler)
     , m_limitsProvider(std::move(limitsProvider))
     , m_maxConnections(maxConnections)
+    , m_buffers(buffers)
     , m_listener(
           reactor, address, [this](const Poco::Net::StreamSocket &socket) { accept(socket); })
 {
@@ -24,8 +25,8 @@
     // at another instance.
     if (m_connections.size() >= m_maxConnections)
         return Poco::Net::StreamSocket(socket).close();
-    auto connection = std::make_shared<CallerConnection>(
-        m_reactor, socket, m_handler, m_limitsProvider, [this](CallerConnection &closed) {
+    auto connection = std::make_shared<CallerConnection>(m_reactor, socket, m_handler,
+        m_limitsProvider, m_buffers, [this](CallerConnection &closed) {
             // The connection is on the call stack, so the reactor destroys it later.
             const auto it = m_connections.find(&closed);
             if (it == m_connections.end())
--- a/Libraries/Carawaykeel/Ingress/CallerListener.h
+++ b/Libraries/Carawaykeel/Ingress/CallerListener.h
@@ -14,7 +14,8 @@
 {
 public:
     CallerListener(Net::Reactor &reactor, const std::string &address, RequestHandler &handler,
-        CallerConnection::LimitsProvider limitsProvider, std::size_t maxConnections);
+        CallerConnection::LimitsProvider limitsProvider, std::size_t maxConnections,
+        BufferAccount &buffers);
 
     /// Closes connections without a request at once, and the others after their response.
     void closeIdle();
@@ -32,6 +33,7 @@
     RequestHandler &m_handler;
     const CallerConnection::LimitsProvider m_limitsProvider;
     const std::size_t m_maxConnections;
+    BufferAccount &m_buffers;
     std::map<const CallerConnection *, std::shared_ptr<CallerConnection>> m_connections;
     Net::Listener m_listener;
 };
--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -30,9 +30,12 @@
     , m_configuration(context.configuration)
     , m_head(std::move(head))
     , m_body(std::move(body))
+    , m_requestBuffer(context.buffers, BufferKind::Other)
+    , m_responseBuffer(context.buffers, BufferKind::Response, this)
     , m_responseWriter(&responseWriter)
     , m_startedAt(context.reactor.now())
 {
+    m_requestBuffer.set(m_body.capacity());
     ++m_context.activeExchanges;
     ++m_context.startedExchanges;
 }
@@ -105,6 +108,8 @@
         }
         ++m_sentAttempts;
         m_response = Response();
+        m_responseBuffer.set(0);
+        m_responseBuffer.setSource(m_server.text());
         m_lastActivityAt = now;
         m_tokensAhead = m_context.serverPool.tokensAhead(*server, now);
         m_loadReportAge = now - server->reportedAt;
@@ -193,6 +198,15 @@
     if (m_response.body.size() + bytes.size() > MaxBufferedResponseBytes)
         return failAttempt(Forwarding::AttemptOutcome::InvalidResponse);
     m_response.body.append(bytes);
+    m_responseBuffer.set(m_response.body.capacity());
+}
+
+void Exchange::onBufferReclaimed(BufferKind)
+{
+    if (m_isFinished || !m_connection)
+        return;
+    m_response.body = {};
+    failAttempt(Forwarding::AttemptOutcome::InvalidResponse);
 }
 
 void Exchange::forwardEvents(std::string_view bytes)
@@ -200,6 +214,7 @@
     std::string completeEvents;
     if (!m_events.feed(bytes, completeEvents))
         return failAttempt(Forwarding::AttemptOutcome::InvalidResponse);
+    m_responseBuffer.set(m_events.partialEvent().size());
     if (completeEvents.empty())
         return;
     markResponded();
@@ -423,6 +438,7 @@
         return;
     --m_context.activeExchanges;
     m_responseWriter = nullptr;
+    m_responseBuffer.set(0);
     settle();
     m_context.metrics.record({m_service, outcome, elapsed(), m_progress.timeToFirstEvent,
         m_progress.timeToFirstAttempt, m_sentAttempts});
--- a/Libraries/Carawaykeel/Ingress/Exchange.h
+++ b/Libraries/Carawaykeel/Ingress/Exchange.h
@@ -22,6 +22,7 @@
 /// allows it.
 class Exchange : public ActiveRequest,
                  public ResponseHandler,
+                 public BufferOwner,
                  public std::enable_shared_from_this<Exchange>
 {
 public:
@@ -38,6 +39,8 @@
     void onCallerDisconnected() override;
     void onCallerWritable() override;
 
+    void onBufferReclaimed(BufferKind kind) override;
+
     void onResponseHead(
         const Poco::Net::HTTPResponse &head, const Forwarding::ResponseMetadata &metadata) override;
     void onResponseBody(std::string_view bytes) override;
@@ -92,6 +95,8 @@
     const std::shared_ptr<const Forwarding::RouterConfiguration> m_configuration;
     Http::RequestHead m_head;
     const std::string m_body;
+    HeldBuffer m_requestBuffer;
+    HeldBuffer m_responseBuffer;
     /// Null after the caller has disconnected or the response has ended.
     ResponseWriter *m_responseWriter;
     const Base::Milliseconds m_startedAt;
--- a/Libraries/Carawaykeel/Ingress/ExchangeAdmission.cpp
+++ b/Libraries/Carawaykeel/Ingress/ExchangeAdmission.cpp
@@ -13,6 +13,8 @@
 
 /// Retry-After of requests that are rejected because the instance is shutting down.
 constexpr Base::Milliseconds ShutdownRetryAfter{50};
+/// Retry-After of requests that are rejected because the instance's buffers are full.
+constexpr Base::Milliseconds MemoryRetryAfter{300};
 /// Retry-After of requests whose team's tokens are unreachable.
 constexpr Base::Milliseconds BudgetRetryAfter{400};
 
@@ -67,6 +69,10 @@
         return boost::leaf::new_error(Base::Failure{
             Base::ErrorKind::ShuttingDown, "this instance shuts down", ShutdownRetryAfter});
     }
+    if (m_context.buffers.isFull()) {
+        return boost::leaf::new_error(Base::Failure{Base::ErrorKind::MemoryFull,
+            "this instance holds too many bytes for others", MemoryRetryAfter});
+    }
     std::vector<int> weights;
     for (const auto &weightedService : m_route.services)
         weights.push_back(weightedService.weight);
--- a/Libraries/Carawaykeel/Ingress/ExchangeContext.h
+++ b/Libraries/Carawaykeel/Ingress/ExchangeContext.h
@@ -7,6 +7,7 @@
 #include <Carawaykeel/Forwarding/RouterConfiguration.h>
 #include <Carawaykeel/Forwarding/ServerPool.h>
 #include <Carawaykeel/Ingress/BacklogBroadcaster.h>
+#include <Carawaykeel/Ingress/BufferAccount.h>
 #include <Carawaykeel/Ingress/PromptGuard.h>
 #include <Carawaykeel/Ingress/RouterMetrics.h>
 #include <Carawaykeel/Ingress/ServerConnectionPool.h>
@@ -28,6 +29,7 @@
     PromptGuard &promptGuard;
     RouterMetrics &metrics;
     ServerConnectionPool &serverConnections;
+    BufferAccount &buffers;
     Budget::TokenBudget &tokenBudget;
     const Logging::Logger &log;
     Base::RandomEngine &random;
--- a/Libraries/Carawaykeel/Ingress/ForwardHandler.cpp
+++ b/Libraries/Carawaykeel/Ingress/ForwardHandler.cpp
@@ -23,7 +23,9 @@
 
 void ForwardHandler::reject(Base::ErrorKind kind, ResponseWriter &responseWriter)
 {
-    sendErrorResponse(responseWriter, {kind, "", Base::Milliseconds()}, m_context.dialect);
+    const auto retryAfter =
+        kind == Base::ErrorKind::MemoryFull ? Exchange::NoServerRetryAfter : Base::Milliseconds();
+    sendErrorResponse(responseWriter, {kind, "", retryAfter}, m_context.dialect);
 }
 
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -75,7 +75,9 @@
     , m_promptReportTransport(m_membership)
     , m_quarantineStore(m_dependencies.table, reactor, m_random)
     , m_promptGuard(reactor, m_promptReportTransport, m_quarantineStore, m_random, m_log)
-    , m_serverConnections(reactor, m_dependencies.dialect)
+    , m_buffers(m_settings.bufferLimit, reactor, m_log)
+    , m_peerBuffer(m_buffers, BufferKind::Other)
+    , m_serverConnections(reactor, m_dependencies.dialect, m_buffers)
     , m_peerTransport(
           m_self.id, m_settings.peerAddress, MaxFrameBytes, m_codec, reactor, m_log,
           [this](const Base::InstanceName &name) { return peerAddressOf(name); },
@@ -85,8 +87,8 @@
           [this] { return m_membership->livePeers(); }, m_settings.allotments, m_random)
     , m_allotmentLogger(m_log)
     , m_context{reactor, m_dependencies.dialect, m_serverPool, m_retryBudget, m_backlogBroadcaster,
-          m_promptGuard, m_metrics, m_serverConnections, m_allotments, m_log, m_random, nullptr,
-          false, 0}
+          m_promptGuard, m_metrics, m_serverConnections, m_buffers, m_allotments, m_log, m_random,
+          nullptr, false, 0}
     , m_serverListSubscriber(
           reactor, m_serverPool, m_dependencies.serverDecoder,
           [this](const Base::ServerName &serverIncarnation) {
@@ -109,13 +111,13 @@
           })
     , m_callerListener(
           reactor, m_settings.callerAddress, m_forwardHandler, [this] { return limits(); },
-          m_settings.maxConnections)
+          m_settings.maxConnections, m_buffers)
     , m_readinessListener(
           reactor, m_settings.readinessAddress, m_entryHandler, [this] { return limits(); },
-          m_settings.maxConnections)
+          m_settings.maxConnections, m_buffers)
     , m_entryListener(
           reactor, m_settings.entryAddress, m_entryHandler, [this] { return limits(); },
-          m_settings.maxConnections)
+          m_settings.maxConnections, m_buffers)
     , m_metricsHandler(m_dependencies.dialect, [this] { return metricsPage(); })
 {
     m_membership = std::make_unique<Membership::Membership>(m_self, gossipSeeds(m_settings),
@@ -305,6 +307,7 @@
 void Router::runMaintenance()
 {
     measureLoad();
+    m_peerBuffer.set(m_peerTransport.bufferedBytes());
     std::vector<std::string> addresses;
     for (const auto &server : m_serverPool.servers())
         addresses.push_back(server.entry.address);
--- a/Libraries/Carawaykeel/Ingress/Router.h
+++ b/Libraries/Carawaykeel/Ingress/Router.h
@@ -3,6 +3,7 @@
 #include <Carawaykeel/Budget/AllotmentHolder.h>
 #include <Carawaykeel/Configuration/ConfigurationRelay.h>
 #include <Carawaykeel/Ingress/AllotmentLogger.h>
+#include <Carawaykeel/Ingress/BufferAccount.h>
 #include <Carawaykeel/Ingress/CallerListener.h>
 #include <Carawaykeel/Ingress/ConfigurationSubscriber.h>
 #include <Carawaykeel/Ingress/EntryHandler.h>
@@ -75,6 +76,7 @@
     void runMaintenance();
     void startMetricsListener();
     std::string metricsPage() const;
+    void writeBufferMetrics(Metrics::PrometheusWriter &writer) const;
     void writePeerMetrics(Metrics::PrometheusWriter &writer) const;
     void awaitActiveExchanges(Base::Milliseconds deadline);
     void returnTokens(Base::Milliseconds deadline);
@@ -93,6 +95,8 @@
     QuarantineStore m_quarantineStore;
     PromptGuard m_promptGuard;
     RouterMetrics m_metrics;
+    BufferAccount m_buffers;
+    HeldBuffer m_peerBuffer;
     ServerConnectionPool m_serverConnections;
     Transport::TcpPeerTransport m_peerTransport;
     Budget::AllotmentHolder m_allotments;
--- a/Libraries/Carawaykeel/Ingress/RouterMetricsPage.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterMetricsPage.cpp
@@ -18,7 +18,7 @@
     try {
         m_metricsListener = std::make_unique<CallerListener>(
             m_reactor, m_settings.metricsAddress, m_metricsHandler, [this] { return limits(); },
-            m_settings.maxConnections);
+            m_settings.maxConnections, m_buffers);
     } catch (const Poco::Exception &ex) {
         // Requests are served even if metrics are not.
         m_log.warn(LogEvent::MetricsUnavailable,
@@ -54,6 +54,7 @@
     writer.writeGauge("repeat_slack_instances",
         "Instances that the slack of repeats is divided by.",
         m_retryBudget.instanceCount().value_or(0));
+    writeBufferMetrics(writer);
     m_allotments.writeMetrics(writer);
     writePeerMetrics(writer);
     Metrics::writeProcessUsage(writer);
@@ -62,6 +63,25 @@
     return writer.take();
 }
 
+void Router::writeBufferMetrics(Metrics::PrometheusWriter &writer) const
+{
+    writer.writeGauge("buffered_bytes", "Bytes held for callers, servers and other instances.",
+        static_cast<std::int64_t>(m_buffers.usedBytes()));
+    writer.writeGauge("buffered_bytes_peak", "Most bytes held at once since the start.",
+        static_cast<std::int64_t>(m_buffers.peakBytes()));
+    writer.writeGauge("buffered_bytes_limit", "Limit of the bytes held.",
+        static_cast<std::int64_t>(m_buffers.limit()));
+    writer.writeCounter("responses_reclaimed_total",
+        "Responses of servers that were cut because too many bytes were held.",
+        m_buffers.reclaimedCount(BufferKind::Response));
+    writer.writeCounter("requests_reclaimed_total",
+        "Requests rejected while they were read because too many bytes were held.",
+        m_buffers.reclaimedCount(BufferKind::Request));
+    writer.writeCounter("unsent_responses_reclaimed_total",
+        "Responses to slow callers that were cut because too many bytes were held.",
+        m_buffers.reclaimedCount(BufferKind::UnsentResponse));
+}
+
 void Router::writePeerMetrics(Metrics::PrometheusWriter &writer) const
 {
     writer.writeGauge("peer_connections_out", "Connections that were opened to other instances.",
--- a/Libraries/Carawaykeel/Ingress/RouterSettings.h
+++ b/Libraries/Carawaykeel/Ingress/RouterSettings.h
@@ -16,6 +16,11 @@
 /// Settings of one router process.
 struct RouterSettings
 {
+    /// Memory of the VM that is assumed if the settings do not tell it.
+    static constexpr std::int64_t DefaultMemoryMegabytes = 128;
+    /// Part of the VM's memory that buffers may occupy.
+    static constexpr std::int64_t DefaultBufferDivisor = 4;
+
     Base::InstanceName name;
     Base::DataCentre dataCentre;
     /// Address for callers' requests.
@@ -40,6 +45,9 @@
     /// Maximum time from the start of the shutdown to the end of the process.
     Base::Milliseconds shutdownTimeout{8'000};
     std::size_t maxConnections = 3'000;
+    /// Maximum number of bytes held for callers, servers and other instances.
+    std::size_t bufferLimit =
+        std::size_t(DefaultMemoryMegabytes) * 1'024 * 1'024 / DefaultBufferDivisor;
     /// Requests per second that the VM can carry; 0 if unknown.
     std::uint32_t capacity = 0;
     Forwarding::RetryBudgetPolicy retries;
--- a/Libraries/Carawaykeel/Ingress/RouterSettingsParser.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterSettingsParser.cpp
@@ -47,6 +47,15 @@
     const auto coreShare = reader.optionalNumber("core_share", 0, 0, MaxCores);
     const auto linkMbps = reader.optionalNumber("link_mbps", 0, 0, MaxLinkMbps);
     settings.capacity = estimateCapacity(coreShare, linkMbps);
+    constexpr std::int64_t MinMemoryMegabytes = 16;
+    constexpr std::int64_t MaxMemoryMegabytes = 1'048'576;
+    constexpr double BytesPerMegabyte = 1'024 * 1'024;
+    const auto memoryMegabytes = reader.optionalInteger("memory_mb",
+        RouterSettings::DefaultMemoryMegabytes, MinMemoryMegabytes, MaxMemoryMegabytes);
+    const auto bufferShare = reader.optionalNumber(
+        "buffer_share", 1.0 / RouterSettings::DefaultBufferDivisor, 0.05, 0.8);
+    settings.bufferLimit = static_cast<std::size_t>(
+        static_cast<double>(memoryMegabytes) * BytesPerMegabyte * bufferShare);
     reader.rejectUnknownKeys();
 }
 
--- a/Libraries/Carawaykeel/Ingress/ServerConnection.cpp
+++ b/Libraries/Carawaykeel/Ingress/ServerConnection.cpp
@@ -17,16 +17,19 @@
 /// already be closing it.
 constexpr Base::Milliseconds IdleTimeoutMargin{300};
 constexpr std::size_t MaxHeadBytes = 65'536;
+/// An empty buffer of more bytes is freed.
+constexpr std::size_t MaxIdleBufferBytes = 16'384;
 constexpr int FirstFinalStatus = 200;
 constexpr int FirstNonSuccessStatus = 300;
 
 } // namespace
 
-ServerConnection::ServerConnection(
-    Net::Reactor &reactor, const Forwarding::Dialect &dialect, std::string address)
+ServerConnection::ServerConnection(Net::Reactor &reactor, const Forwarding::Dialect &dialect,
+    BufferAccount &buffers, std::string address)
     : m_reactor(reactor)
     , m_dialect(dialect)
     , m_address(std::move(address))
+    , m_buffer(buffers, BufferKind::Other)
     , m_idleTimeout(DefaultIdleTimeout)
 {
 }
@@ -59,7 +62,7 @@
     m_closesAfterResponse = false;
     if (m_state == State::Connecting) {
         m_pendingRequest = bytes;
-        return;
+        return updateBuffer();
     }
     m_state = State::Busy;
     if (!m_socket->send(bytes)) {
@@ -68,6 +71,15 @@
             self->fail(Forwarding::AttemptOutcome::ConnectionLost);
         });
     }
+    updateBuffer();
+}
+
+void ServerConnection::updateBuffer()
+{
+    if (m_received.empty() && m_received.capacity() > MaxIdleBufferBytes)
+        m_received = {};
+    m_buffer.set(m_received.capacity() + m_pendingRequest.capacity()
+        + (m_socket && m_socket->isOpen() ? m_socket->bufferedBytes() : 0));
 }
 
 void ServerConnection::cancel()
@@ -109,6 +121,7 @@
         return onDisconnected(false);
     if (readiness.canRead || readiness.hasError)
         readAvailable();
+    updateBuffer();
 }
 
 void ServerConnection::onConnected()
--- a/Libraries/Carawaykeel/Ingress/ServerConnection.h
+++ b/Libraries/Carawaykeel/Ingress/ServerConnection.h
@@ -2,6 +2,7 @@
 
 #include <Carawaykeel/Forwarding/Dialect.h>
 #include <Carawaykeel/Http/BodyDecoder.h>
+#include <Carawaykeel/Ingress/BufferAccount.h>
 #include <Carawaykeel/Ingress/ResponseHandler.h>
 #include <Carawaykeel/Net/BufferedSocket.h>
 
@@ -21,8 +22,8 @@
     /// Timeout for establishing a connection.
     static constexpr Base::Milliseconds ConnectTimeout{600};
 
-    ServerConnection(
-        Net::Reactor &reactor, const Forwarding::Dialect &dialect, std::string address);
+    ServerConnection(Net::Reactor &reactor, const Forwarding::Dialect &dialect,
+        BufferAccount &buffers, std::string address);
 
     /// Starts to connect. Returns false if that fails immediately.
     bool connect();
@@ -51,6 +52,7 @@
 private:
     enum class State { Connecting, Idle, Busy, Closed };
 
+    void updateBuffer();
     void onConnected();
     void readAvailable();
     void parse();
@@ -70,6 +72,7 @@
     std::string m_requestId;
     std::string m_pendingRequest;
     std::string m_received;
+    HeldBuffer m_buffer;
     std::optional<Http::BodyDecoder> m_bodyDecoder;
     /// A response was received on this connection, so later bytes may repeat it.
     bool m_hasResponded = false;
--- a/Libraries/Carawaykeel/Ingress/ServerConnectionPool.cpp
+++ b/Libraries/Carawaykeel/Ingress/ServerConnectionPool.cpp
@@ -6,9 +6,10 @@
 namespace Carawaykeel::Ingress {
 
 ServerConnectionPool::ServerConnectionPool(
-    Net::Reactor &reactor, const Forwarding::Dialect &dialect)
+    Net::Reactor &reactor, const Forwarding::Dialect &dialect, BufferAccount &buffers)
     : m_reactor(reactor)
     , m_dialect(dialect)
+    , m_buffers(buffers)
 {
 }
 
@@ -22,7 +23,7 @@
             return connection;
         connection->close();
     }
-    auto connection = std::make_shared<ServerConnection>(m_reactor, m_dialect, address);
+    auto connection = std::make_shared<ServerConnection>(m_reactor, m_dialect, m_buffers, address);
     return connection->connect() ? connection : nullptr;
 }
 
--- a/Libraries/Carawaykeel/Ingress/ServerConnectionPool.h
+++ b/Libraries/Carawaykeel/Ingress/ServerConnectionPool.h
@@ -13,7 +13,8 @@
 class ServerConnectionPool
 {
 public:
-    ServerConnectionPool(Net::Reactor &reactor, const Forwarding::Dialect &dialect);
+    ServerConnectionPool(
+        Net::Reactor &reactor, const Forwarding::Dialect &dialect, BufferAccount &buffers);
 
     /// Returns a reusable idle connection, or else a new one that is still connecting; null if that
     /// fails immediately.
@@ -28,6 +29,7 @@
 private:
     Net::Reactor &m_reactor;
     const Forwarding::Dialect &m_dialect;
+    BufferAccount &m_buffers;
     std::map<std::string, std::vector<std::shared_ptr<ServerConnection>>> m_idleConnections;
 };
 
--- a/Libraries/Carawaykeel/Logging/LogEvent.cpp
+++ b/Libraries/Carawaykeel/Logging/LogEvent.cpp
@@ -57,6 +57,8 @@
         return "server_leaving_answered";
     case LogEvent::ServerPaused:
         return "server_paused";
+    case LogEvent::BufferReclaimed:
+        return "buffer_reclaimed";
     case LogEvent::ServerListDelivered:
         return "server_list_delivered";
     case LogEvent::ServerListReached:
--- a/Libraries/Carawaykeel/Logging/LogEvent.h
+++ b/Libraries/Carawaykeel/Logging/LogEvent.h
@@ -32,6 +32,7 @@
     ServerLeavingRelayed,
     ServerLeavingAnswered,
     ServerPaused,
+    BufferReclaimed,
     ServerListDelivered,
     ServerListReached,
     ServerListLost,
--- a/Libraries/Carawaykeel/Net/BufferedSocket.cpp
+++ b/Libraries/Carawaykeel/Net/BufferedSocket.cpp
@@ -100,7 +100,12 @@
         return false;
     }
     if (unsentBytes() == 0) {
-        m_sendBuffer.clear();
+        // A large response must not occupy memory for as long as its connection is kept.
+        if (m_sendBuffer.capacity() > CompactionThreshold) {
+            m_sendBuffer = {};
+        } else {
+            m_sendBuffer.clear();
+        }
         m_sentBytes = 0;
     } else if (m_sentBytes >= CompactionThreshold) {
         m_sendBuffer.erase(0, m_sentBytes);
--- a/Libraries/Carawaykeel/Net/BufferedSocket.h
+++ b/Libraries/Carawaykeel/Net/BufferedSocket.h
@@ -41,6 +41,9 @@
     /// Number of bytes that are buffered for sending.
     std::size_t unsentBytes() const { return m_sendBuffer.size() - m_sentBytes; }
 
+    /// Number of bytes that the send buffer occupies.
+    std::size_t bufferedBytes() const { return m_sendBuffer.capacity(); }
+
     /// Turns reading on or off; while it is off, the peer is slowed down by flow control.
     void setReading(bool isReading);
     bool isReading() const { return m_isReading; }
--- a/Libraries/Carawaykeel/Transport/FrameReader.h
+++ b/Libraries/Carawaykeel/Transport/FrameReader.h
@@ -27,6 +27,8 @@
     /// The buffer that received bytes are appended to.
     std::string &buffer() { return m_buffer; }
 
+    std::size_t capacity() const { return m_buffer.capacity(); }
+
     /// Returns the next complete message, which is valid until the next call. Returns nothing if
     /// more bytes are needed or the frame is too long.
     std::optional<std::string_view> next();
--- a/Libraries/Carawaykeel/Transport/PeerReceiver.h
+++ b/Libraries/Carawaykeel/Transport/PeerReceiver.h
@@ -29,6 +29,9 @@
     /// Closes the connection if no message arrives for too long or one takes too long to arrive.
     void checkTimeouts();
 
+    /// Number of bytes that the receive buffer occupies.
+    std::size_t bufferedBytes() const { return m_frames.capacity(); }
+
     void onReady(Net::Readiness readiness) override;
 
 private:
--- a/Libraries/Carawaykeel/Transport/TcpPeerTransport.cpp
+++ b/Libraries/Carawaykeel/Transport/TcpPeerTransport.cpp
@@ -150,4 +150,16 @@
         std::ranges::count_if(m_senders, [](const auto &entry) { return entry.second->isOpen(); }));
 }
 
+std::size_t TcpPeerTransport::bufferedBytes() const
+{
+    std::size_t n = 0;
+    for (const auto &[name, sender] : m_senders)
+        n += sender->queuedBytes();
+    for (const auto &sender : m_finishingSenders)
+        n += sender->queuedBytes();
+    for (const auto &[key, receiver] : m_receivers)
+        n += receiver->bufferedBytes();
+    return n;
+}
+
 } // namespace Carawaykeel::Transport
--- a/Libraries/Carawaykeel/Transport/TcpPeerTransport.h
+++ b/Libraries/Carawaykeel/Transport/TcpPeerTransport.h
@@ -49,6 +49,8 @@
     /// Numbers of open connections. Call on the reactor's thread.
     std::size_t outgoingCount() const;
     std::size_t incomingCount() const { return m_receivers.size(); }
+    /// Number of bytes that wait to be sent or belong to incomplete messages.
+    std::size_t bufferedBytes() const;
 
 private:
     void closeSender(const Base::InstanceName &name);
--- a/Tests/Support/MemoryLogSink.h
+++ b/Tests/Support/MemoryLogSink.h
@@ -2,8 +2,10 @@
 
 #include <Carawaykeel/Logging/LogSink.h>
 
+#include <algorithm>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -25,6 +27,13 @@
         return m_lines;
     }
 
+    bool contains(std::string_view text) const
+    {
+        const std::lock_guard lock(m_mutex);
+        return std::ranges::any_of(
+            m_lines, [text](const auto &line) { return line.find(text) != std::string::npos; });
+    }
+
 private:
     mutable std::mutex m_mutex;
     std::vector<std::string> m_lines;
--- a/Tests/Support/RouterHarness.cpp
+++ b/Tests/Support/RouterHarness.cpp
@@ -13,6 +13,8 @@
 
 constexpr Forwarding::RetryBudgetPolicy RetryPolicy{0.2, 100, Base::Milliseconds(10'000)};
 constexpr std::size_t MaxConnections = 100;
+/// A quarter of the smallest VM's memory.
+constexpr std::size_t BufferLimit = 22 * 1'024 * 1'024;
 const Poco::Timespan ResponseTimeout(5, 0);
 
 std::shared_ptr<const Forwarding::RouterConfiguration> makeConfiguration(Forwarding::Route route)
@@ -36,14 +38,15 @@
     , m_backlogBroadcaster(m_reactor, m_serverPool, [](const auto &) {})
     , m_quarantineStore(m_table, m_reactor, m_random)
     , m_promptGuard(m_reactor, m_otherInstances, m_quarantineStore, m_random, m_log)
-    , m_serverConnections(m_reactor, m_dialect)
+    , m_buffers(BufferLimit, m_reactor, m_log)
+    , m_serverConnections(m_reactor, m_dialect, m_buffers)
     , m_context{m_reactor, m_dialect, m_serverPool, m_retryBudget, m_backlogBroadcaster,
-          m_promptGuard, m_metrics, m_serverConnections, m_tokenBudget, m_log, m_random,
+          m_promptGuard, m_metrics, m_serverConnections, m_buffers, m_tokenBudget, m_log, m_random,
           makeConfiguration(std::move(route)), false, 0}
     , m_handler(m_context)
     , m_callerListener(
           m_reactor, "127.0.0.1:0", m_handler, [] { return Forwarding::CallerLimits(); },
-          MaxConnections)
+          MaxConnections, m_buffers)
 {
     m_retryBudget.setInstanceCount(1);
     int n = 0;
--- a/Tests/Support/RouterHarness.h
+++ b/Tests/Support/RouterHarness.h
@@ -83,6 +83,7 @@
     Ingress::QuarantineStore m_quarantineStore;
     Ingress::PromptGuard m_promptGuard;
     Ingress::RouterMetrics m_metrics;
+    Ingress::BufferAccount m_buffers;
     Ingress::ServerConnectionPool m_serverConnections;
     UnlimitedBudget m_tokenBudget;
     Ingress::ExchangeContext m_context;
