Platform: Reject entry queries with a broken percent escape

Cause: the parser's exception left PlatformDialect::readEntryQuery; the event loop ended with it, or the listener swallowed it if the request was read while the connection was accepted.

Change: the query is read with an error kind; the caller gets 400. Any other request there still gets 404.

--- a/Libraries/Carawaykeel/Forwarding/Dialect.h
+++ b/Libraries/Carawaykeel/Forwarding/Dialect.h
@@ -42,8 +42,10 @@
     /// Returns true for a request that checks whether this instance accepts requests.
     virtual bool isReadinessProbe(const Poco::Net::HTTPRequest &head) const = 0;
 
-    /// Returns the entry query; empty for any other request.
-    virtual std::optional<EntryQuery> readEntryQuery(const Poco::Net::HTTPRequest &head) const = 0;
+    /// Reads an entry query. Fails with NotFound for any other request, and with MalformedRequest
+    /// when the query cannot be decoded.
+    virtual Base::Result<EntryQuery> tryReadEntryQuery(
+        const Poco::Net::HTTPRequest &head) const = 0;
 
     /// Returns the response body with the addresses to connect to and their cache time.
     virtual std::string writeEntryResponse(
--- a/Libraries/Carawaykeel/Ingress/EntryHandler.cpp
+++ b/Libraries/Carawaykeel/Ingress/EntryHandler.cpp
@@ -24,12 +24,13 @@
         responseWriter.sendResponse(response, "");
         return nullptr;
     }
-    const auto query = m_dialect.readEntryQuery(*head);
-    if (!query) {
-        reject(Base::ErrorKind::NotFound, responseWriter);
+    auto outcome =
+        Base::toOutcome<Forwarding::EntryQuery>([&] { return m_dialect.tryReadEntryQuery(*head); });
+    if (const auto *failure = std::get_if<Base::Failure>(&outcome)) {
+        reject(failure->kind, responseWriter);
         return nullptr;
     }
-    const auto entry = m_entryProvider(*query);
+    const auto entry = m_entryProvider(std::get<Forwarding::EntryQuery>(outcome));
     if (entry.addresses.empty()) {
         reject(Base::ErrorKind::Starting, responseWriter);
         return nullptr;
--- a/Tests/Support/RunningRouter.h
+++ b/Tests/Support/RunningRouter.h
@@ -30,6 +30,7 @@
     bool hasStopped() const { return m_hasStopped; }
 
     const std::string &callerAddress() const { return m_settings.callerAddress; }
+    const std::string &entryAddress() const { return m_settings.entryAddress; }
 
 private:
     void waitUntilReady() const;
