Net: End one connection when its handler throws

What callers would have seen: any exception that bytes of a caller, server, peer or the table service bring about ended the event loop and with it the process, with all its requests; one that arose while a connection was accepted was swallowed and left its caller without an answer.

Cause: the reactor called handlers and tasks unguarded, and the listener's guard covered what it calls.

Change: the reactor reports the exception to an observer and tells the handler to end its connection; the loop goes on. The router logs a handler_failed line. Without an observer run() throws as before, so that no program hides exceptions by accident. The listener guards only the accepting.

--- a/Libraries/Carawaykeel/Ingress/CallerConnection.cpp
+++ b/Libraries/Carawaykeel/Ingress/CallerConnection.cpp
@@ -83,6 +83,12 @@
     updateBuffers();
 }
 
+void CallerConnection::onFailure()
+{
+    const auto self = shared_from_this();
+    onDisconnected();
+}
+
 void CallerConnection::updateBuffers()
 {
     if (m_received.empty() && m_received.capacity() > MaxIdleBufferBytes)
--- a/Libraries/Carawaykeel/Ingress/CallerConnection.h
+++ b/Libraries/Carawaykeel/Ingress/CallerConnection.h
@@ -39,6 +39,7 @@
     bool hasUnsentBytes() const { return m_socket.unsentBytes() > 0; }
 
     void onReady(Net::Readiness readiness) override;
+    void onFailure() override;
     void onBufferReclaimed(BufferKind kind) override;
 
     void sendResponse(Poco::Net::HTTPResponse &head, std::string_view body) override;
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -216,6 +216,9 @@
             .add("entry", m_settings.entryAddress)
             .add("gossip", m_settings.gossipAddress)
             .add("data_centre", m_settings.dataCentre.text()));
+    m_reactor.setFailureObserver([this](std::string_view reason) {
+        m_log.warn(LogEvent::HandlerFailed, LogFields().add("reason", reason));
+    });
     m_allotments.setObserver(m_allotmentLogger);
     startMetricsListener();
     m_membership->start();
--- a/Libraries/Carawaykeel/Ingress/ServerConnection.cpp
+++ b/Libraries/Carawaykeel/Ingress/ServerConnection.cpp
@@ -74,6 +74,12 @@
     updateBuffer();
 }
 
+void ServerConnection::onFailure()
+{
+    const auto self = shared_from_this();
+    fail(Forwarding::AttemptOutcome::InvalidResponse);
+}
+
 void ServerConnection::updateBuffer()
 {
     if (m_received.empty() && m_received.capacity() > MaxIdleBufferBytes)
--- a/Libraries/Carawaykeel/Ingress/ServerConnection.h
+++ b/Libraries/Carawaykeel/Ingress/ServerConnection.h
@@ -48,6 +48,7 @@
     const std::string &address() const { return m_address; }
 
     void onReady(Net::Readiness readiness) override;
+    void onFailure() override;
 
 private:
     enum class State { Connecting, Idle, Busy, Closed };
--- a/Libraries/Carawaykeel/Ingress/ServerCrashDetector.cpp
+++ b/Libraries/Carawaykeel/Ingress/ServerCrashDetector.cpp
@@ -43,6 +43,8 @@
             end(!m_socket->tryFinishConnecting());
     }
 
+    void onFailure() override { end(false); }
+
 private:
     void endLater(bool wasRefused, Base::Milliseconds delay)
     {
--- a/Libraries/Carawaykeel/Logging/LogEvent.cpp
+++ b/Libraries/Carawaykeel/Logging/LogEvent.cpp
@@ -59,6 +59,8 @@
         return "server_paused";
     case LogEvent::BufferReclaimed:
         return "buffer_reclaimed";
+    case LogEvent::HandlerFailed:
+        return "handler_failed";
     case LogEvent::ServerListDelivered:
         return "server_list_delivered";
     case LogEvent::ServerListReached:
--- a/Libraries/Carawaykeel/Logging/LogEvent.h
+++ b/Libraries/Carawaykeel/Logging/LogEvent.h
@@ -33,6 +33,7 @@
     ServerLeavingAnswered,
     ServerPaused,
     BufferReclaimed,
+    HandlerFailed,
     ServerListDelivered,
     ServerListReached,
     ServerListLost,
--- a/Libraries/Carawaykeel/Net/Listener.cpp
+++ b/Libraries/Carawaykeel/Net/Listener.cpp
@@ -41,12 +41,14 @@
 void Listener::onReady(Readiness)
 {
     for (int n = 0; n < AcceptsPerEvent && m_isOpen; ++n) {
+        Poco::Net::StreamSocket connection;
         try {
-            m_onAccept(m_socket.acceptConnection());
+            connection = m_socket.acceptConnection();
         } catch (const Poco::Exception &) {
             // No connection is waiting, or the caller has already closed it.
             return;
         }
+        m_onAccept(connection);
     }
 }
 
--- a/Libraries/Carawaykeel/Net/Listener.h
+++ b/Libraries/Carawaykeel/Net/Listener.h
@@ -28,6 +28,7 @@
     Poco::Net::SocketAddress address() const { return m_socket.address(); }
 
     void onReady(Readiness readiness) override;
+    void onFailure() override { }
 
 private:
     Reactor &m_reactor;
--- a/Libraries/Carawaykeel/Net/Reactor.cpp
+++ b/Libraries/Carawaykeel/Net/Reactor.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Timespan.h>
 #include <algorithm>
 #include <array>
+#include <exception>
 #include <utility>
 
 namespace Carawaykeel::Net {
@@ -104,10 +105,26 @@
                 return;
             task = m_timers.popNext();
         }
+        runTask(task);
+    }
+}
+
+void Reactor::runTask(const std::function<void()> &task)
+{
+    try {
         task();
+    } catch (const std::exception &ex) {
+        if (!m_onFailure)
+            throw;
+        m_onFailure(ex.what());
     }
 }
 
+void Reactor::setFailureObserver(std::function<void(std::string_view reason)> observer)
+{
+    m_onFailure = std::move(observer);
+}
+
 void Reactor::pollSockets(Base::Milliseconds timeout)
 {
     const auto ready = m_pollSet.poll(Poco::Timespan(timeout.count() * MicrosecondsPerMillisecond));
@@ -116,13 +133,30 @@
             drainWakeUps();
             continue;
         }
-        // An earlier handler of this iteration may have unwatched the socket.
-        const auto it = m_watched.find(socket.impl());
-        if (it == m_watched.end())
-            continue;
-        it->second.handler->onReady({(mode & Poco::Net::PollSet::POLL_READ) != 0,
-            (mode & Poco::Net::PollSet::POLL_WRITE) != 0,
-            (mode & Poco::Net::PollSet::POLL_ERROR) != 0});
+        handleEvents(socket.impl(),
+            {(mode & Poco::Net::PollSet::POLL_READ) != 0,
+                (mode & Poco::Net::PollSet::POLL_WRITE) != 0,
+                (mode & Poco::Net::PollSet::POLL_ERROR) != 0});
+    }
+}
+
+void Reactor::handleEvents(const Poco::Net::SocketImpl *socket, Readiness readiness)
+{
+    // An earlier handler of this iteration may have unwatched the socket.
+    const auto it = m_watched.find(socket);
+    if (it == m_watched.end())
+        return;
+    auto *handler = it->second.handler;
+    try {
+        handler->onReady(readiness);
+    } catch (const std::exception &ex) {
+        if (!m_onFailure)
+            throw;
+        m_onFailure(ex.what());
+        // A handler that is no longer watched may have been destroyed.
+        const auto watched = m_watched.find(socket);
+        if (watched != m_watched.end() && watched->second.handler == handler)
+            handler->onFailure();
     }
 }
 
--- a/Libraries/Carawaykeel/Net/Reactor.h
+++ b/Libraries/Carawaykeel/Net/Reactor.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <functional>
 #include <mutex>
+#include <string_view>
 #include <thread>
 #include <unordered_map>
 
@@ -40,6 +41,10 @@
     /// Stops watching a socket; its handler is not called again. Call before closing the socket.
     void unwatch(const Poco::Net::Socket &socket);
 
+    /// Sets a function that is called with the reason when a handler or task throws an exception.
+    /// The loop then goes on; without the function, run() throws. Call before run().
+    void setFailureObserver(std::function<void(std::string_view reason)> observer);
+
     /// Runs the loop until stop() is called.
     void run();
 
@@ -55,9 +60,12 @@
     Base::Milliseconds timeUntilNextTimer();
     void runDueTimers();
     void pollSockets(Base::Milliseconds timeout);
+    void handleEvents(const Poco::Net::SocketImpl *socket, Readiness readiness);
+    void runTask(const std::function<void()> &task);
     void drainWakeUps();
 
     const std::chrono::steady_clock::time_point m_origin;
+    std::function<void(std::string_view)> m_onFailure;
     Poco::Net::PollSet m_pollSet;
     std::unordered_map<const Poco::Net::SocketImpl *, Watch> m_watched;
     /// Connected to itself. Another thread sends a byte to interrupt the poll.
--- a/Libraries/Carawaykeel/Net/SignalListener.h
+++ b/Libraries/Carawaykeel/Net/SignalListener.h
@@ -23,6 +23,7 @@
     SignalListener &operator=(const SignalListener &) = delete;
 
     void onReady(Readiness readiness) override;
+    void onFailure() override { }
 
 private:
     Reactor &m_reactor;
--- a/Libraries/Carawaykeel/Net/SocketHandler.h
+++ b/Libraries/Carawaykeel/Net/SocketHandler.h
@@ -17,6 +17,10 @@
     virtual ~SocketHandler() = default;
 
     virtual void onReady(Readiness readiness) = 0;
+
+    /// Called after onReady() threw an exception. Ends the connection, if the socket is one, with
+    /// the exchange in progress.
+    virtual void onFailure() = 0;
 };
 
 } // namespace Carawaykeel::Net
--- a/Libraries/Carawaykeel/Transport/HttpClient.cpp
+++ b/Libraries/Carawaykeel/Transport/HttpClient.cpp
@@ -107,6 +107,13 @@
         readAvailable();
 }
 
+void HttpClient::onFailure()
+{
+    if (m_current)
+        return finish(std::nullopt);
+    closeConnection();
+}
+
 void HttpClient::readAvailable()
 {
     const auto outcome = m_socket->read(m_received);
--- a/Libraries/Carawaykeel/Transport/HttpClient.h
+++ b/Libraries/Carawaykeel/Transport/HttpClient.h
@@ -58,6 +58,7 @@
     void call(HttpCall call, Callback callback);
 
     void onReady(Net::Readiness readiness) override;
+    void onFailure() override;
 
 private:
     struct PendingCall
--- a/Libraries/Carawaykeel/Transport/PeerReceiver.h
+++ b/Libraries/Carawaykeel/Transport/PeerReceiver.h
@@ -33,6 +33,7 @@
     std::size_t bufferedBytes() const { return m_frames.capacity(); }
 
     void onReady(Net::Readiness readiness) override;
+    void onFailure() override { close("a message could not be handled"); }
 
 private:
     void readMessages();
--- a/Libraries/Carawaykeel/Transport/PeerSender.h
+++ b/Libraries/Carawaykeel/Transport/PeerSender.h
@@ -34,6 +34,7 @@
     bool isOpen() const { return m_socket != nullptr; }
 
     void onReady(Net::Readiness readiness) override;
+    void onFailure() override { closeAfterFailure(); }
 
 private:
     bool connect();
--- a/Libraries/Carawaykeel/Transport/UdpGossipTransport.h
+++ b/Libraries/Carawaykeel/Transport/UdpGossipTransport.h
@@ -32,6 +32,7 @@
         const Membership::GossipMessage &message) override;
 
     void onReady(Net::Readiness readiness) override;
+    void onFailure() override { }
 
     std::uint64_t malformed() const { return m_malformed; }
     std::uint64_t bytesSent() const { return m_bytesSent; }
--- a/Tests/Support/PeerFleet.h
+++ b/Tests/Support/PeerFleet.h
@@ -37,6 +37,7 @@
     {
         Connection(PeerFleet &owner, std::size_t peerNumber, const Poco::Net::StreamSocket &stream);
         void onReady(Net::Readiness readiness) override;
+        void onFailure() override { socket.close(); }
 
         PeerFleet &fleet;
         const std::size_t peer;
