Ingress: Read again from a kept connection that was paused

What callers would have seen: a request that got no answer until its timeout, on a connection whose earlier response had ended while its caller was slow.

Cause: reading is paused for a slow caller, and the connection went back to the pool paused.

Evidence: ServerConnectionTest::pausedConnectionServesTheNextRequest failed on the code before (no answer within 2 s) and passes.

--- a/Libraries/Carawaykeel/Ingress/ServerConnection.cpp
+++ b/Libraries/Carawaykeel/Ingress/ServerConnection.cpp
@@ -238,6 +238,8 @@
     } else {
         m_state = State::Idle;
         m_idleSince = m_reactor.now();
+        // Reading may have been paused for a slow caller; the next request must not wait for it.
+        m_socket->setReading(true);
     }
     auto *handler = std::exchange(m_handler, nullptr);
     if (handler)
