Http: Keep long fields and encoded words of a head as they are

What callers saw: a request with a field over 8,192 bytes, such as a long list of prompt parts, got 400 although the operator allows heads of 16,384 bytes. Found on the way: a value such as =?UTF-8?B?YQ==?= reached the server decoded.

Cause: the library's reader of fields limits values to 8,192 bytes and decodes words of mail headers. The limit that the code set is that of the number of fields.

Change: the library reads the first line only; the fields, which were checked before, are split here.

Evidence: HeadParserTest::longFieldIsKeptWhole and valuesAreKeptAsTheyAre failed on the code before and pass, with the five others.

--- a/Libraries/Carawaykeel/Http/HeadParser.cpp
+++ b/Libraries/Carawaykeel/Http/HeadParser.cpp
@@ -13,9 +13,6 @@
 
 constexpr std::string_view LineEnd = "\r\n";
 constexpr std::string_view HeadEnd = "\r\n\r\n";
-/// Limit that Poco applies to each field. The code that reads the head limits its total length, so
-/// this limit need not be lower.
-constexpr int MaxFieldLength = 1 << 20;
 
 bool isTokenCharacter(char c)
 {
@@ -50,6 +47,25 @@
     return head == LineEnd;
 }
 
+std::string_view trim(std::string_view text)
+{
+    constexpr std::string_view Blanks = " \t";
+    text.remove_prefix(std::min(text.find_first_not_of(Blanks), text.size()));
+    return text.substr(0, text.find_last_not_of(Blanks) + 1);
+}
+
+/// Adds the fields of a well-formed head without its first line.
+void addFields(std::string_view lines, Poco::Net::HTTPMessage &message)
+{
+    while (lines.size() > LineEnd.size()) {
+        const auto end = lines.find(LineEnd);
+        const auto colon = lines.find(':');
+        message.add(std::string(lines.substr(0, colon)),
+            std::string(trim(lines.substr(colon + 1, end - colon - 1))));
+        lines.remove_prefix(end + LineEnd.size());
+    }
+}
+
 /// Returns a description of the ambiguity in the body's length, or an empty string.
 std::string_view describeLengthAmbiguity(const Poco::Net::HTTPMessage &message)
 {
@@ -83,10 +99,14 @@
     if (!isWellFormed(text))
         return Base::fail(kind, "the head is not well formed");
     auto head = std::make_unique<Head>();
-    head->setFieldLimit(MaxFieldLength);
+    const auto startLineEnd = text.find(LineEnd) + LineEnd.size();
+    const auto startLine = std::string(text.substr(0, startLineEnd)) + std::string(LineEnd);
     try {
-        Poco::MemoryInputStream stream(text.data(), static_cast<std::streamsize>(text.size()));
+        Poco::MemoryInputStream stream(
+            startLine.data(), static_cast<std::streamsize>(startLine.size()));
         head->read(stream);
+        // The library limits a value to 8 KB, also where the operator allows longer heads.
+        addFields(text.substr(startLineEnd), *head);
     } catch (const Poco::Exception &ex) {
         return Base::fail(kind, "the head cannot be parsed: " + ex.displayText());
     }
--- a/Tests/Http/HeadParserTest.cpp
+++ b/Tests/Http/HeadParserTest.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST_SUITE(HeadParserTest);
     CPPUNIT_TEST(headEndsWithEmptyLine);
     CPPUNIT_TEST(wellFormedHeadIsParsed);
+    CPPUNIT_TEST(longFieldIsKeptWhole);
+    CPPUNIT_TEST(valuesAreKeptAsTheyAre);
     CPPUNIT_TEST(ambiguousHeadsAreRejected);
     CPPUNIT_TEST(hopByHopFieldsAreRemoved);
     CPPUNIT_TEST(framingFieldNamedInConnectionFieldIsKept);
@@ -45,6 +47,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), head->size());
     }
 
+    /// Guards against a request with a long prompt list that is refused although its head is within
+    /// the operator's limit.
+    void longFieldIsKeptWhole()
+    {
+        const std::string value(15'000, 'x');
+        const auto head = parse("X-Prompt-Prefix: " + value + "\r\nHost: a.example\r\n");
+        CPPUNIT_ASSERT(head);
+        CPPUNIT_ASSERT_EQUAL(value, head->get("X-Prompt-Prefix"));
+        CPPUNIT_ASSERT_EQUAL(std::string("a.example"), head->get("Host"));
+    }
+
+    void valuesAreKeptAsTheyAre()
+    {
+        const auto head = parse("X-One:\t a: b  \r\nX-Two:\r\nX-Three: =?UTF-8?B?YQ==?=\r\n");
+        CPPUNIT_ASSERT(head);
+        CPPUNIT_ASSERT_EQUAL(std::string("a: b"), head->get("X-One"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), head->get("X-Two"));
+        CPPUNIT_ASSERT_EQUAL(std::string("=?UTF-8?B?YQ==?="), head->get("X-Three"));
+    }
+
     void ambiguousHeadsAreRejected()
     {
         for (const auto *fields : {"Content-Length: 3\r\nContent-Length: 3\r\n",
