Budget: Return tokens also when a stop meets a report

What callers would have seen: an instance that is stopped while it reports ends with its tokens still set aside, so that its teams are refused sooner.

Cause: the end of a report that had begun before the stop was taken for the return; so was one that returned the tokens and gave up after conflicts.

Change: a returning report follows, and repeats conflicts until the deadline of the stop.

--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.h
@@ -176,6 +176,7 @@
     void adoptRow(const Base::TeamId &team, Account &account, const Platform::Row *row);
     void commitBatch(int remainingTries);
     void commitNextBatch();
+    bool hasToReturn(Platform::CommitOutcome outcome) const;
     Platform::Transaction planBatch();
     AllotmentRow planRow(const Base::TeamId &team, Account &account, Base::Milliseconds serviceNow);
     static void finishRelinquishing(Account &account);
@@ -231,6 +232,8 @@
     /// only the rows that concern this instance are read.
     bool m_hasClosedPredecessors = false;
     bool m_isReporting = false;
+    /// The report in progress returns all allotments.
+    bool m_isReportReturning = false;
     /// A batch of the report in progress was given up after conflicts.
     bool m_hasSkippedBatch = false;
     bool m_isReportScheduled = false;
--- a/Libraries/Carawaykeel/Budget/AllotmentReports.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentReports.cpp
@@ -92,6 +92,7 @@
         return;
     if (m_accounts.empty())
         return;
+    m_isReportReturning = m_isReturningAll;
     measureUsage();
     m_reportedTeams.clear();
     for (auto &[team, account] : m_accounts) {
@@ -353,11 +354,11 @@
         ++(reply.outcome == Platform::CommitOutcome::Conflict ? m_counters.reportConflicts
                                                               : m_counters.reportsRefused);
         onCommitRejected();
-        if (remainingTries <= 1) {
+        if (remainingTries <= 1 && !hasToReturn(reply.outcome)) {
             m_hasSkippedBatch = true;
             return commitNextBatch();
         }
-        return retryBatch(remainingTries - 1);
+        return retryBatch(std::max(remainingTries - 1, 1));
     case Platform::CommitOutcome::Unknown:
         break;
     }
@@ -366,6 +367,12 @@
     finishReport(false);
 }
 
+bool AllotmentHolder::hasToReturn(Platform::CommitOutcome outcome) const
+{
+    // Conflicts end as others go on; the stop is bounded by its own deadline.
+    return m_isReportReturning && outcome == Platform::CommitOutcome::Conflict;
+}
+
 void AllotmentHolder::commitNextBatch()
 {
     for (const auto &team : m_writtenTeams)
@@ -423,6 +430,9 @@
         m_observer->onTableReachabilityChanged(isReachable);
     if (!isReachable)
         m_tableRetryAt = m_scheduler.now() + m_policy.unreachableRetryDelay;
+    // The report began before the stop, so what it wrote keeps the allotments.
+    if (m_isReturningAll && isReachable && !m_isReportReturning && !m_accounts.empty())
+        return startReport();
     if (m_isReturningAll) {
         auto callback = std::exchange(m_returnAllCallback, nullptr);
         if (callback)
--- a/Tests/Budget/AllotmentTest.cpp
+++ b/Tests/Budget/AllotmentTest.cpp
@@ -219,6 +219,7 @@
     CPPUNIT_TEST(largeFleetIsServedDuringAnOutageWithAThirdRemaining);
     CPPUNIT_TEST(mostTokensAreUsableAfterAllInstancesDied);
     CPPUNIT_TEST(drainedInstanceLeavesNoAllotment);
+    CPPUNIT_TEST(drainDuringAReportLeavesNoAllotment);
     CPPUNIT_TEST(newInstanceBorrowsWhileTheTableIsUnreachable);
     CPPUNIT_TEST(drainDuringAnOutageLosesFewTokens);
     CPPUNIT_TEST(fewTokensAreLostWhenAllInstancesDieLate);
@@ -448,6 +449,30 @@
         CPPUNIT_ASSERT(row.find(AllotmentFleet::nameOf(0) + "\"") == std::string::npos);
     }
 
+    /// Guards against an instance that says it has returned its tokens when only a report ended
+    /// that had begun before the stop.
+    void drainDuringAReportLeavesNoAllotment()
+    {
+        forEachSeed(50, [](int seed) {
+            FleetScenario scenario(seed, 2);
+            scenario.fleet.table().extraDelay = Base::Milliseconds(50);
+            // The stops are spread over the interval of the reports.
+            scenario.requests.run(Base::Milliseconds(5'000), 1);
+            scenario.world.run(Base::Milliseconds(10 * seed));
+            bool isReturned = false;
+            bool isInRow = true;
+            // The process ends with the callback.
+            scenario.fleet.holder(0).returnAll([&](bool isDone) {
+                isReturned = isDone;
+                const auto row = scenario.fleet.table().range("allotment/").front().value;
+                isInRow = row.find(AllotmentFleet::nameOf(0) + "\"") != std::string::npos;
+            });
+            scenario.world.run(Base::Milliseconds(3'000));
+            CPPUNIT_ASSERT(isReturned);
+            CPPUNIT_ASSERT(!isInRow);
+        });
+    }
+
     /// An instance restarts while the table is unreachable for all, so it has no allotment.
     void newInstanceBorrowsWhileTheTableIsUnreachable()
     {
