Forwarding: Decide in one place which servers are eligible

Change: one private function of ServerPool. Measured result: none expected; the unit tests pass as before.

--- a/Libraries/Carawaykeel/Forwarding/ServerPool.cpp
+++ b/Libraries/Carawaykeel/Forwarding/ServerPool.cpp
@@ -66,6 +66,12 @@
     return it == m_servers.end() ? nullptr : &it->second.entry;
 }
 
+bool ServerPool::isEligible(
+    const KnownServer &server, const Base::ServiceName &service, Base::Milliseconds now)
+{
+    return server.entry.service == service && !isLeaving(server) && server.pausedUntil <= now;
+}
+
 double ServerPool::estimatedRequestsAt(const KnownServer &server, Base::Milliseconds now) const
 {
     // The report already includes this instance's requests at that time, so the estimate is the
@@ -88,8 +94,7 @@
     std::vector<const KnownServer *> eligible;
     std::vector<const KnownServer *> notAvoided;
     for (const auto &[name, server] : m_servers) {
-        if (server.entry.service != hint.service || isLeaving(server) || server.pausedUntil > now
-            || hint.triedServers.contains(name))
+        if (!isEligible(server, hint.service, now) || hint.triedServers.contains(name))
             continue;
         eligible.push_back(&server);
         if (server.avoidedUntil <= now)
@@ -187,8 +192,7 @@
 {
     return std::ranges::any_of(m_servers, [&](const auto &item) {
         const auto &[name, server] = item;
-        return server.entry.service == service && !isLeaving(server) && server.pausedUntil <= now
-            && !triedServers.contains(name);
+        return isEligible(server, service, now) && !triedServers.contains(name);
     });
 }
 
--- a/Libraries/Carawaykeel/Forwarding/ServerPool.h
+++ b/Libraries/Carawaykeel/Forwarding/ServerPool.h
@@ -138,6 +138,9 @@
         Base::Milliseconds until;
     };
 
+    /// Returns true if a server of the service may get new requests.
+    static bool isEligible(
+        const KnownServer &server, const Base::ServiceName &service, Base::Milliseconds now);
     double estimatedRequestsAt(const KnownServer &server, Base::Milliseconds now) const;
     double loadOf(const KnownServer &server, Base::Milliseconds now) const;
     const KnownServer *preferredServer(const ServerSelectionHint &hint) const;
