Forwarding: Keep servers of evacuated data centres out of the selection

Cause: an operator's evacuation of a data centre must keep every new request from its servers, at instances that learn of it in different orders.

Their servers are not eligible, and a prompt part's preferred server is sought among the others by the same hash. ServerPool::onDataCentreReturned is called when an evacuation is lifted and does nothing yet.

--- a/Libraries/Carawaykeel/Forwarding/ServerPool.cpp
+++ b/Libraries/Carawaykeel/Forwarding/ServerPool.cpp
@@ -60,6 +60,35 @@
     return true;
 }
 
+void ServerPool::setEvacuated(
+    const Base::DataCentre &dataCentre, bool isEvacuated, Base::Milliseconds now)
+{
+    if (isEvacuated) {
+        m_evacuatedDataCentres.insert(dataCentre);
+    } else if (m_evacuatedDataCentres.erase(dataCentre) > 0) {
+        onDataCentreReturned(dataCentre, now);
+    }
+}
+
+bool ServerPool::isEvacuated(const Base::DataCentre &dataCentre) const
+{
+    return m_evacuatedDataCentres.contains(dataCentre);
+}
+
+bool ServerPool::isBlockedByEvacuation(
+    const Base::ServiceName &service, Base::Milliseconds now) const
+{
+    if (m_evacuatedDataCentres.empty() || hasUntriedServer(service, {}, now))
+        return false;
+    return std::ranges::any_of(m_servers, [&](const auto &item) {
+        const auto &server = item.second;
+        return server.entry.service == service && !isLeaving(server)
+            && isEvacuated(server.entry.dataCentre);
+    });
+}
+
+void ServerPool::onDataCentreReturned(const Base::DataCentre &, Base::Milliseconds) { }
+
 const ServerEntry *ServerPool::findEntry(const Base::ServerName &name) const
 {
     const auto it = m_servers.find(name);
@@ -67,9 +96,10 @@
 }
 
 bool ServerPool::isEligible(
-    const KnownServer &server, const Base::ServiceName &service, Base::Milliseconds now)
+    const KnownServer &server, const Base::ServiceName &service, Base::Milliseconds now) const
 {
-    return server.entry.service == service && !isLeaving(server) && server.pausedUntil <= now;
+    return server.entry.service == service && !isLeaving(server) && server.pausedUntil <= now
+        && !isEvacuated(server.entry.dataCentre);
 }
 
 double ServerPool::estimatedRequestsAt(const KnownServer &server, Base::Milliseconds now) const
@@ -117,7 +147,8 @@
     const KnownServer *preferred = nullptr;
     std::uint64_t highest = 0;
     for (const auto &[name, server] : m_servers) {
-        if (server.entry.service != hint.service || isLeaving(server))
+        if (server.entry.service != hint.service || isLeaving(server)
+            || isEvacuated(server.entry.dataCentre))
             continue;
         const auto hash = XXH64(name.text().data(), name.text().size(), part);
         if (!preferred || hash > highest) {
@@ -214,7 +245,8 @@
 {
     std::optional<Base::Milliseconds> earliest;
     for (const auto &[name, server] : m_servers) {
-        if (server.entry.service != service || isLeaving(server))
+        if (server.entry.service != service || isLeaving(server)
+            || isEvacuated(server.entry.dataCentre))
             continue;
         earliest = std::min(earliest.value_or(server.pausedUntil), server.pausedUntil);
     }
--- a/Libraries/Carawaykeel/Forwarding/ServerPool.h
+++ b/Libraries/Carawaykeel/Forwarding/ServerPool.h
@@ -94,6 +94,15 @@
     std::optional<Base::Milliseconds> timeUntilUnpaused(
         const Base::ServiceName &service, Base::Milliseconds now) const;
 
+    /// Sets whether the servers of a data centre get new requests. A name without servers is kept
+    /// for servers that are announced later.
+    void setEvacuated(const Base::DataCentre &dataCentre, bool isEvacuated, Base::Milliseconds now);
+    bool isEvacuated(const Base::DataCentre &dataCentre) const;
+    /// Returns true if the service has no eligible server, but would have one without evacuations.
+    bool isBlockedByEvacuation(const Base::ServiceName &service, Base::Milliseconds now) const;
+    /// Called when the evacuation of a data centre is lifted.
+    void onDataCentreReturned(const Base::DataCentre &dataCentre, Base::Milliseconds now);
+
     /// Returns the entry of a server; null when it is not announced.
     const ServerEntry *findEntry(const Base::ServerName &name) const;
 
@@ -139,8 +148,8 @@
     };
 
     /// Returns true if a server of the service may get new requests.
-    static bool isEligible(
-        const KnownServer &server, const Base::ServiceName &service, Base::Milliseconds now);
+    bool isEligible(
+        const KnownServer &server, const Base::ServiceName &service, Base::Milliseconds now) const;
     double estimatedRequestsAt(const KnownServer &server, Base::Milliseconds now) const;
     double loadOf(const KnownServer &server, Base::Milliseconds now) const;
     const KnownServer *preferredServer(const ServerSelectionHint &hint) const;
@@ -158,6 +167,7 @@
     std::deque<ServerIncarnation> m_leavingIncarnations;
     /// Pauses that last, by server, also while its entry has expired.
     std::map<Base::ServerName, Pause> m_pauses;
+    std::set<Base::DataCentre> m_evacuatedDataCentres;
 };
 
 } // namespace Carawaykeel::Forwarding
