Ingress: Follow the evacuations of data centres

Cause: evacuations are rows in table op, and instances that the table service rejects have to learn of them too.

The listener of evacuations fills the registers and sends them to other instances as a new kind of datagram: at a change, with member and server lists, with every second probe while a data centre is evacuated, and to the sender of an older state. A request that waits for a connection to an evacuated server is sent elsewhere, and one without a server is rejected at once as not run.

--- a/Libraries/Carawaykeel/Ingress/ConfigurationSubscriber.cpp
+++ b/Libraries/Carawaykeel/Ingress/ConfigurationSubscriber.cpp
@@ -17,7 +17,7 @@
 {
 }
 
-void ConfigurationSubscriber::onSnapshot(const std::vector<Platform::Row> &rows)
+void ConfigurationSubscriber::onSnapshot(const std::vector<Platform::Row> &rows, std::uint64_t)
 {
     for (const auto &row : rows) {
         if (row.key == m_key)
--- a/Libraries/Carawaykeel/Ingress/ConfigurationSubscriber.h
+++ b/Libraries/Carawaykeel/Ingress/ConfigurationSubscriber.h
@@ -25,7 +25,7 @@
     ConfigurationSubscriber(std::string key, Base::Scheduler &scheduler, Decoder decoder,
         std::function<void(Pointer)> onNewer, const Logging::Logger &log);
 
-    void onSnapshot(const std::vector<Platform::Row> &rows) override;
+    void onSnapshot(const std::vector<Platform::Row> &rows, std::uint64_t version) override;
     void onChanges(const std::vector<Platform::RowChange> &changes) override;
     void onReachabilityChanged(bool isReachable) override;
 
--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -98,6 +98,7 @@
                     "no server is left to try", noServerRetryAfter()});
         }
         m_server = server->entry.name;
+        m_serverDataCentre = server->entry.dataCentre;
         m_triedServers.insert(m_server);
         const auto bytes = encode(*server);
         m_connection = m_context.serverConnections.acquire(server->entry.address);
@@ -302,7 +303,8 @@
         if (std::exchange(m_isTrial, false))
             m_context.promptGuard.onTrialFailed(m_requestMetadata.promptParts);
     }
-    endAttempt(true);
+    // A request that was withdrawn because of an evacuation says nothing about its server.
+    endAttempt(outcome != Forwarding::AttemptOutcome::NotSent || isServerAllowed());
     handleAttemptOutcome(outcome);
 }
 
@@ -425,6 +427,7 @@
     if (m_isFinished)
         return;
     m_failureReason = failure.message;
+    recordEvacuationRejection(failure);
     if (m_hasStreamStarted)
         return abortStream(BrokenOffOutcome);
     if (m_responseWriter)
--- a/Libraries/Carawaykeel/Ingress/Exchange.h
+++ b/Libraries/Carawaykeel/Ingress/Exchange.h
@@ -41,6 +41,7 @@
 
     void onBufferReclaimed(BufferKind kind) override;
 
+    bool isServerAllowed() const override;
     void onResponseHead(
         const Poco::Net::HTTPResponse &head, const Forwarding::ResponseMetadata &metadata) override;
     void onResponseBody(std::string_view bytes) override;
@@ -65,6 +66,7 @@
     void checkPrompt();
     static Base::Failure quarantineFailure(Base::Milliseconds retryAfter);
     Base::Milliseconds noServerRetryAfter() const;
+    void recordEvacuationRejection(const Base::Failure &failure);
     bool isStream() const { return m_route.kind == Forwarding::RouteKind::Stream; }
     bool isSuccess() const;
     bool isBrokenOff() const;
@@ -114,6 +116,7 @@
 
     std::shared_ptr<ServerConnection> m_connection;
     Base::ServerName m_server;
+    Base::DataCentre m_serverDataCentre;
     /// Prompt tokens that the server has still to process before it responds.
     Base::Tokens m_unprocessedTokens;
     std::set<Base::ServerName> m_triedServers;
--- a/Libraries/Carawaykeel/Ingress/ExchangeAdmission.cpp
+++ b/Libraries/Carawaykeel/Ingress/ExchangeAdmission.cpp
@@ -49,6 +49,20 @@
     return *pause + Base::Milliseconds(jitter(m_context.random));
 }
 
+bool Exchange::isServerAllowed() const
+{
+    return !m_context.serverPool.isEvacuated(m_serverDataCentre);
+}
+
+void Exchange::recordEvacuationRejection(const Base::Failure &failure)
+{
+    if (failure.kind != Base::ErrorKind::NoServerAvailable
+        || !m_context.serverPool.isBlockedByEvacuation(m_service, m_context.reactor.now()))
+        return;
+    m_failureReason = "all servers are evacuated";
+    m_context.metrics.recordEvacuationRejection();
+}
+
 Base::Result<void> Exchange::tryAdmit()
 {
     BOOST_LEAF_ASSIGN(m_requestMetadata, m_context.dialect.tryReadRequest(*m_head));
--- a/Libraries/Carawaykeel/Ingress/ResponseHandler.h
+++ b/Libraries/Carawaykeel/Ingress/ResponseHandler.h
@@ -15,6 +15,8 @@
 public:
     virtual ~ResponseHandler() = default;
 
+    /// Returns false if a request that waits for its connection must not be sent any more.
+    virtual bool isServerAllowed() const { return true; }
     virtual void onResponseHead(
         const Poco::Net::HTTPResponse &head, const Forwarding::ResponseMetadata &metadata) = 0;
     virtual void onResponseBody(std::string_view bytes) = 0;
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -98,6 +98,10 @@
     , m_configurationSubscriber(
           m_dependencies.configurationKey, reactor, m_dependencies.configurationDecoder,
           [this](const auto &configuration) { onConfiguration(configuration); }, m_log)
+    , m_evacuationTransport(m_membership)
+    , m_evacuationSubscriber(
+          m_dependencies.evacuationKeyPrefix, reactor, m_serverPool, m_evacuationTransport,
+          [this] { m_serverConnections.withdrawDisallowedRequests(); }, m_log)
     , m_configurationRelay(reactor, m_peerTransport)
     , m_gossipTransport(m_settings.gossipAddress, m_codec, reactor,
           [this](const Membership::GossipMessage &message) { m_membership->onMessage(message); })
@@ -124,42 +128,6 @@
         Membership::MembershipPolicy(), reactor, m_random, m_gossipTransport, membershipEvents());
 }
 
-Membership::MembershipEvents Router::membershipEvents()
-{
-    Membership::MembershipEvents events;
-    events.onConfigurationVersion = [this](const Base::InstanceId &from, std::uint64_t version) {
-        const Configuration::LocalConfiguration local{
-            m_configurationSubscriber.version(), m_configurationSubscriber.isConnected()};
-        if (m_configurationRelay.onVersionAnnounced(from, version, local)) {
-            m_log.info(LogEvent::ConfigurationRequested,
-                LogFields()
-                    .add("from", from.name.text())
-                    .add("announced", version)
-                    .add("version", local.version)
-                    .add("connected", local.hasDirectSource));
-        }
-    };
-    events.onServerLeaving = [this](const Base::ServerName &serverIncarnation) {
-        m_serverListSubscriber.onPeerReportedLeaving(serverIncarnation);
-    };
-    events.onBacklogs = [this](const Base::InstanceName &from,
-                            std::span<const Forwarding::ServerBacklog> backlogs) {
-        m_serverPool.onPeerBacklogs(from, backlogs, m_reactor.now());
-    };
-    events.onPromptReports = [this](const Base::InstanceName &from,
-                                 std::span<const Forwarding::PromptReport> reports) {
-        m_promptGuard.onReports(from, reports);
-    };
-    events.knownPromptReports = [this] { return m_promptGuard.knownReports(); };
-    events.onMemberFailed = [this](const Base::InstanceId &failedInstance) {
-        m_log.warn(LogEvent::InstanceMissed,
-            LogFields()
-                .add("missed", failedInstance.name.text())
-                .add("missed_incarnation", failedInstance.incarnation));
-    };
-    return events;
-}
-
 std::string Router::peerAddressOf(const Base::InstanceName &name) const
 {
     const auto &members = m_membership->members();
@@ -182,14 +150,8 @@
         return m_configurationSubscriber.onReceivedFromPeer(delivery->version, delivery->document);
     if (const auto *delivery = std::get_if<Peer::DeliverServers>(&envelope.message))
         return m_serverListSubscriber.onReceivedFromPeer(delivery->servers);
-    if (std::holds_alternative<Peer::FetchServers>(envelope.message)) {
-        Peer::DeliverServers delivery;
-        for (const auto &server : m_serverPool.servers())
-            delivery.servers.push_back(server.entry);
-        if (!delivery.servers.empty())
-            m_peerTransport.send(from, std::move(delivery));
-        return;
-    }
+    if (std::holds_alternative<Peer::FetchServers>(envelope.message))
+        return sendServerList(from);
     if (const auto *request = std::get_if<Peer::FetchConfiguration>(&envelope.message)) {
         const auto version = m_configurationSubscriber.version();
         const auto &document = m_configurationSubscriber.document();
@@ -284,15 +246,6 @@
     return response;
 }
 
-void Router::requestServerList()
-{
-    const auto peers = m_membership->livePeers();
-    if (!m_serverListSubscriber.isEmpty() || peers.empty())
-        return;
-    std::uniform_int_distribution<std::size_t> distribution(0, peers.size() - 1);
-    m_peerTransport.send(peers.at(distribution(m_random)), Peer::FetchServers());
-}
-
 void Router::measureLoad()
 {
     const auto now = m_reactor.now();
--- a/Libraries/Carawaykeel/Ingress/Router.h
+++ b/Libraries/Carawaykeel/Ingress/Router.h
@@ -8,8 +8,10 @@
 #include <Carawaykeel/Ingress/ConfigurationSubscriber.h>
 #include <Carawaykeel/Ingress/EntryHandler.h>
 #include <Carawaykeel/Ingress/EntrySelection.h>
+#include <Carawaykeel/Ingress/EvacuationSubscriber.h>
 #include <Carawaykeel/Ingress/ExchangeContext.h>
 #include <Carawaykeel/Ingress/ForwardHandler.h>
+#include <Carawaykeel/Ingress/GossipEvacuationTransport.h>
 #include <Carawaykeel/Ingress/GossipReportTransport.h>
 #include <Carawaykeel/Ingress/MetricsHandler.h>
 #include <Carawaykeel/Ingress/RouterSettingsParser.h>
@@ -34,6 +36,8 @@
     ConfigurationSubscriber::Decoder configurationDecoder;
     /// Key of the configuration's row.
     std::string configurationKey;
+    /// Prefix of the keys of evacuations; the name of a data centre follows.
+    std::string evacuationKeyPrefix;
     /// Appends the metrics of the table service's client to the metrics page; may be empty.
     std::function<void(Metrics::PrometheusWriter &writer)> writeTableMetrics;
 };
@@ -51,6 +55,7 @@
     /// Listeners for changes of the table service's rows. Any thread may call them.
     Platform::ChangeListener &serverListSubscriber() { return m_serverListSubscriber; }
     Platform::ChangeListener &configurationSubscriber() { return m_configurationSubscriber; }
+    Platform::ChangeListener &evacuationSubscriber() { return m_evacuationSubscriber; }
 
     /// Starts all periodic work. Call once.
     void start();
@@ -71,12 +76,14 @@
     std::string peerAddressOf(const Base::InstanceName &name) const;
     void onPeerMessage(const Peer::PeerEnvelope &envelope);
     Membership::MembershipEvents membershipEvents();
+    void sendServerList(const Base::InstanceId &to);
     void requestServerList();
     void measureLoad();
     void runMaintenance();
     void startMetricsListener();
     std::string metricsPage() const;
     void writeBufferMetrics(Metrics::PrometheusWriter &writer) const;
+    void writeEvacuationMetrics(Metrics::PrometheusWriter &writer) const;
     void writePeerMetrics(Metrics::PrometheusWriter &writer) const;
     void awaitActiveExchanges(Base::Milliseconds deadline);
     void returnTokens(Base::Milliseconds deadline);
@@ -104,6 +111,8 @@
     ExchangeContext m_context;
     ServerListSubscriber m_serverListSubscriber;
     ConfigurationSubscriber m_configurationSubscriber;
+    GossipEvacuationTransport m_evacuationTransport;
+    EvacuationSubscriber m_evacuationSubscriber;
     Configuration::ConfigurationRelay m_configurationRelay;
     std::unique_ptr<Membership::Membership> m_membership;
     Transport::UdpGossipTransport m_gossipTransport;
--- a/Libraries/Carawaykeel/Ingress/RouterMetrics.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterMetrics.cpp
@@ -57,6 +57,8 @@
         writer.writeSample(
             "repeats_total", labelsOf(name), static_cast<std::int64_t>(service.retries));
     }
+    writer.writeCounter("requests_rejected_evacuated_total",
+        "Requests rejected because all servers were evacuated.", m_evacuationRejections);
     writeHistograms(writer, "request_seconds", "Arrival of a request to the end of its answer.",
         &ServiceMetrics::duration);
     writeHistograms(writer, "first_event_seconds", "Arrival of a request to its first event.",
--- a/Libraries/Carawaykeel/Ingress/RouterMetrics.h
+++ b/Libraries/Carawaykeel/Ingress/RouterMetrics.h
@@ -32,6 +32,8 @@
     static constexpr std::size_t MaxServices = 32;
 
     void record(const RequestResult &result);
+    /// Counts a request that was rejected because all servers were evacuated.
+    void recordEvacuationRejection() { ++m_evacuationRejections; }
     void writeTo(Metrics::PrometheusWriter &writer) const;
 
 private:
@@ -51,6 +53,7 @@
         std::string_view help, const Metrics::LatencyHistogram ServiceMetrics::*histogram) const;
 
     std::map<Base::ServiceName, ServiceMetrics> m_services;
+    std::uint64_t m_evacuationRejections = 0;
 };
 
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/RouterMetricsPage.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterMetricsPage.cpp
@@ -54,6 +54,7 @@
     writer.writeGauge("repeat_slack_instances",
         "Instances that the slack of repeats is divided by.",
         m_retryBudget.instanceCount().value_or(0));
+    writeEvacuationMetrics(writer);
     writeBufferMetrics(writer);
     m_allotments.writeMetrics(writer);
     writePeerMetrics(writer);
@@ -63,6 +64,16 @@
     return writer.take();
 }
 
+void Router::writeEvacuationMetrics(Metrics::PrometheusWriter &writer) const
+{
+    const auto &registers = m_evacuationSubscriber.registers();
+    writer.writeGauge("data_centres_evacuated", "Data centres whose servers get no new requests.",
+        static_cast<std::int64_t>(registers.evacuatedCount()));
+    writer.writeGauge("evacuation_version",
+        "Highest version of the table service at which an evacuation was set or lifted.",
+        static_cast<std::int64_t>(registers.highestVersion()));
+}
+
 void Router::writeBufferMetrics(Metrics::PrometheusWriter &writer) const
 {
     writer.writeGauge("buffered_bytes", "Bytes held for callers, servers and other instances.",
--- a/Libraries/Carawaykeel/Ingress/ServerConnection.cpp
+++ b/Libraries/Carawaykeel/Ingress/ServerConnection.cpp
@@ -96,6 +96,12 @@
         m_socket->close(true);
 }
 
+void ServerConnection::withdrawDisallowedRequest()
+{
+    if (m_state == State::Connecting && m_handler && !m_handler->isServerAllowed())
+        fail(Forwarding::AttemptOutcome::NotSent);
+}
+
 void ServerConnection::setReading(bool isReading)
 {
     if (m_socket && m_socket->isOpen())
--- a/Libraries/Carawaykeel/Ingress/ServerConnection.h
+++ b/Libraries/Carawaykeel/Ingress/ServerConnection.h
@@ -36,6 +36,9 @@
     /// Cancels the request in flight. Closes the connection to signal this to the server.
     void cancel();
 
+    /// Fails the request that waits for the connection if it must not be sent any more.
+    void withdrawDisallowedRequest();
+
     /// Pauses or resumes reading from the server.
     void setReading(bool isReading);
 
@@ -45,6 +48,7 @@
     /// True if another request can be sent. The server may have closed its side in the meantime.
     bool isReusable(Base::Milliseconds now) const;
 
+    bool isConnecting() const { return m_state == State::Connecting; }
     const std::string &address() const { return m_address; }
 
     void onReady(Net::Readiness readiness) override;
--- a/Libraries/Carawaykeel/Ingress/ServerConnectionPool.cpp
+++ b/Libraries/Carawaykeel/Ingress/ServerConnectionPool.cpp
@@ -24,7 +24,35 @@
         connection->close();
     }
     auto connection = std::make_shared<ServerConnection>(m_reactor, m_dialect, m_buffers, address);
-    return connection->connect() ? connection : nullptr;
+    if (!connection->connect())
+        return nullptr;
+    addConnecting(connection);
+    return connection;
+}
+
+void ServerConnectionPool::addConnecting(const std::shared_ptr<ServerConnection> &connection)
+{
+    if (m_connecting.size() >= m_cleanUpSize) {
+        std::erase_if(m_connecting, [](const auto &weak) {
+            const auto known = weak.lock();
+            return !known || !known->isConnecting();
+        });
+        m_cleanUpSize = std::max(MinCleanUpSize, 2 * m_connecting.size());
+    }
+    m_connecting.push_back(connection);
+}
+
+void ServerConnectionPool::withdrawDisallowedRequests()
+{
+    // A withdrawn request acquires another connection, which changes the list.
+    for (const auto &weak : std::exchange(m_connecting, {})) {
+        const auto connection = weak.lock();
+        if (!connection)
+            continue;
+        connection->withdrawDisallowedRequest();
+        if (connection->isConnecting())
+            m_connecting.push_back(weak);
+    }
 }
 
 void ServerConnectionPool::release(std::shared_ptr<ServerConnection> connection)
--- a/Libraries/Carawaykeel/Ingress/ServerConnectionPool.h
+++ b/Libraries/Carawaykeel/Ingress/ServerConnectionPool.h
@@ -23,14 +23,25 @@
     /// Releases a connection after its exchange. It is kept if it is reusable.
     void release(std::shared_ptr<ServerConnection> connection);
 
+    /// Fails requests that wait for a connection and must not be sent any more.
+    void withdrawDisallowedRequests();
+
     /// Closes connections that were idle for too long, and those to addresses not in `addresses`.
     void closeExpired(const std::vector<std::string> &addresses);
 
 private:
+    static constexpr std::size_t MinCleanUpSize = 64;
+
+    void addConnecting(const std::shared_ptr<ServerConnection> &connection);
+
     Net::Reactor &m_reactor;
     const Forwarding::Dialect &m_dialect;
     BufferAccount &m_buffers;
     std::map<std::string, std::vector<std::shared_ptr<ServerConnection>>> m_idleConnections;
+    /// Connections that were new when they were acquired; most are established by now.
+    std::vector<std::weak_ptr<ServerConnection>> m_connecting;
+    /// Size of `m_connecting` at which established connections are removed from it.
+    std::size_t m_cleanUpSize = MinCleanUpSize;
 };
 
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/ServerListSubscriber.cpp
+++ b/Libraries/Carawaykeel/Ingress/ServerListSubscriber.cpp
@@ -36,7 +36,7 @@
     return Base::toOutcome<Forwarding::ServerEntry>([&] { return m_decoder(key, document); });
 }
 
-void ServerListSubscriber::onSnapshot(const std::vector<Platform::Row> &rows)
+void ServerListSubscriber::onSnapshot(const std::vector<Platform::Row> &rows, std::uint64_t)
 {
     std::vector<std::pair<std::string, Base::Outcome<Forwarding::ServerEntry>>> entries;
     for (const auto &row : rows)
--- a/Libraries/Carawaykeel/Ingress/ServerListSubscriber.h
+++ b/Libraries/Carawaykeel/Ingress/ServerListSubscriber.h
@@ -33,7 +33,7 @@
     ServerListSubscriber(Base::Scheduler &scheduler, Forwarding::ServerPool &serverPool,
         Decoder decoder, LeavingAnnouncer announceLeaving, const Logging::Logger &log);
 
-    void onSnapshot(const std::vector<Platform::Row> &rows) override;
+    void onSnapshot(const std::vector<Platform::Row> &rows, std::uint64_t version) override;
     void onChanges(const std::vector<Platform::RowChange> &changes) override;
     void onReachabilityChanged(bool isReachable) override;
 
--- a/Libraries/Carawaykeel/Logging/LogEvent.cpp
+++ b/Libraries/Carawaykeel/Logging/LogEvent.cpp
@@ -57,6 +57,10 @@
         return "server_leaving_answered";
     case LogEvent::ServerPaused:
         return "server_paused";
+    case LogEvent::EvacuationChanged:
+        return "evacuation_changed";
+    case LogEvent::EvacuationUnusable:
+        return "evacuation_unusable";
     case LogEvent::BufferReclaimed:
         return "buffer_reclaimed";
     case LogEvent::HandlerFailed:
--- a/Libraries/Carawaykeel/Logging/LogEvent.h
+++ b/Libraries/Carawaykeel/Logging/LogEvent.h
@@ -32,6 +32,8 @@
     ServerLeavingRelayed,
     ServerLeavingAnswered,
     ServerPaused,
+    EvacuationChanged,
+    EvacuationUnusable,
     BufferReclaimed,
     HandlerFailed,
     ServerListDelivered,
--- a/Libraries/Carawaykeel/Membership/GossipMessage.h
+++ b/Libraries/Carawaykeel/Membership/GossipMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Carawaykeel/Forwarding/Evacuation.h>
 #include <Carawaykeel/Forwarding/PromptReport.h>
 #include <Carawaykeel/Forwarding/ServerBacklog.h>
 #include <Carawaykeel/Membership/Member.h>
@@ -23,6 +24,9 @@
     MemberList,
     /// Reports prompt parts that crash servers; gets no reply.
     PromptReports,
+    /// Reports the data centres that are or were evacuated. The receiver replies with a message of
+    /// the same kind only if it knows of a newer state.
+    Evacuations,
 };
 
 /// A gossip datagram. Each carries the sender, its configuration version and piggybacked updates.
@@ -41,6 +45,8 @@
     std::vector<Forwarding::ServerBacklog> backlogs;
     /// Present only in PromptReports, which instances of earlier versions ignore.
     std::vector<Forwarding::PromptReport> promptReports = {};
+    /// Present only in Evacuations, which instances of earlier versions ignore.
+    std::vector<Forwarding::Evacuation> evacuations = {};
 
     template <class Archive>
     void serialize(Archive &archive)
@@ -49,6 +55,8 @@
             backlogs);
         if (kind == GossipKind::PromptReports)
             archive(promptReports);
+        if (kind == GossipKind::Evacuations)
+            archive(evacuations);
     }
 };
 
--- a/Libraries/Carawaykeel/Membership/Membership.cpp
+++ b/Libraries/Carawaykeel/Membership/Membership.cpp
@@ -57,8 +57,10 @@
     }
     if (m_periodCount % m_policy.reconnectPeriods == 0 || m_members.empty())
         reconnect();
-    if (const auto *member = selectProbeTarget())
+    if (const auto *member = selectProbeTarget()) {
+        sendEvacuationsWithProbe(member->gossipAddress);
         probe(*member);
+    }
     m_scheduler.schedule(m_policy.probePeriod, [this] { runProbePeriod(); });
 }
 
@@ -185,7 +187,12 @@
         if (m_events.onPromptReports)
             m_events.onPromptReports(message.sender.id.name, message.promptReports);
         break;
+    case GossipKind::Evacuations:
+        if (m_events.onEvacuations)
+            m_events.onEvacuations(message.sender.id.name, message.evacuations);
+        break;
     case GossipKind::MemberListRequest:
+        sendKnownEvacuations(message.sender.gossipAddress);
         sendMemberList(message.sender.gossipAddress);
         if (m_events.knownPromptReports)
             sendPromptReports(message.sender.gossipAddress, m_events.knownPromptReports());
--- a/Libraries/Carawaykeel/Membership/Membership.h
+++ b/Libraries/Carawaykeel/Membership/Membership.h
@@ -34,6 +34,11 @@
         onPromptReports = {};
     /// Returns the prompt reports for a member that requests the list of all members.
     std::function<std::vector<Forwarding::PromptReport>()> knownPromptReports = {};
+    /// A member reported data centres that are or were evacuated.
+    std::function<void(const Base::InstanceName &from, std::span<const Forwarding::Evacuation>)>
+        onEvacuations = {};
+    /// Returns the evacuations for a member that requests the list of all members or is probed.
+    std::function<std::vector<Forwarding::Evacuation>()> knownEvacuations = {};
 };
 
 /// The membership protocol of the fleet, based on SWIM (Das, Gupta, Motivala 2002): one probe a
@@ -68,6 +73,12 @@
     void sendPromptReports(
         std::span<const Forwarding::PromptReport> reports, const Base::InstanceName &to);
 
+    /// Sends evacuations to at most `count` random live members.
+    void sendEvacuations(std::span<const Forwarding::Evacuation> evacuations, std::size_t count);
+    /// Sends evacuations to one member, if it is known.
+    void sendEvacuations(
+        std::span<const Forwarding::Evacuation> evacuations, const Base::InstanceName &to);
+
     /// Sets the configuration version that datagrams carry.
     /// Sets the requests per second of this instance, which each datagram reports.
     void setLoad(std::uint32_t load) { m_load = load; }
@@ -120,6 +131,10 @@
     void sendMemberList(const std::string &address);
     void sendPromptReports(
         std::string_view address, std::span<const Forwarding::PromptReport> reports);
+    void sendEvacuations(
+        std::string_view address, std::span<const Forwarding::Evacuation> evacuations);
+    void sendKnownEvacuations(std::string_view address);
+    void sendEvacuationsWithProbe(std::string_view address);
     std::vector<const Member *> selectRandomMembers(std::size_t count);
     void reconnect();
     void enqueueIfNotAlive(const Base::InstanceName &name);
--- a/Libraries/Carawaykeel/Membership/MembershipPolicy.h
+++ b/Libraries/Carawaykeel/Membership/MembershipPolicy.h
@@ -44,6 +44,10 @@
     /// Maximum number of members that a backlog report is sent to; bounds the number of datagrams
     /// in a large fleet.
     std::size_t maxBacklogReceivers = 24;
+    /// While a data centre is evacuated, one in this many probes is accompanied by a datagram with
+    /// the evacuations. With every second one, an instance that missed the first datagrams gets
+    /// about five more within the 5 s in which an evacuation must be in effect.
+    std::size_t evacuationPeriods = 2;
 };
 
 } // namespace Carawaykeel::Membership
--- a/Libraries/Carawaykeel/Membership/MembershipUpdates.cpp
+++ b/Libraries/Carawaykeel/Membership/MembershipUpdates.cpp
@@ -132,4 +132,43 @@
             {reports.begin(), reports.end()}});
 }
 
+void Membership::sendEvacuations(
+    std::span<const Forwarding::Evacuation> evacuations, std::size_t count)
+{
+    for (const auto *member : selectRandomMembers(count))
+        sendEvacuations(member->gossipAddress, evacuations);
+}
+
+void Membership::sendEvacuations(
+    std::span<const Forwarding::Evacuation> evacuations, const Base::InstanceName &to)
+{
+    if (const auto it = m_members.find(to); it != m_members.end())
+        sendEvacuations(it->second.gossipAddress, evacuations);
+}
+
+void Membership::sendEvacuations(
+    std::string_view address, std::span<const Forwarding::Evacuation> evacuations)
+{
+    if (evacuations.empty())
+        return;
+    m_transport.send(address,
+        {GossipKind::Evacuations, 0, m_self, {}, m_configurationVersion, m_load, {}, {}, {}, {},
+            {evacuations.begin(), evacuations.end()}});
+}
+
+void Membership::sendKnownEvacuations(std::string_view address)
+{
+    if (m_events.knownEvacuations)
+        sendEvacuations(address, m_events.knownEvacuations());
+}
+
+void Membership::sendEvacuationsWithProbe(std::string_view address)
+{
+    if (m_periodCount % m_policy.evacuationPeriods != 0 || !m_events.knownEvacuations)
+        return;
+    const auto evacuations = m_events.knownEvacuations();
+    if (std::ranges::any_of(evacuations, &Forwarding::Evacuation::isEvacuated))
+        sendEvacuations(address, evacuations);
+}
+
 } // namespace Carawaykeel::Membership
--- a/Libraries/Carawaykeel/Platform/ChangeFeed.h
+++ b/Libraries/Carawaykeel/Platform/ChangeFeed.h
@@ -22,8 +22,9 @@
 public:
     virtual ~ChangeListener() = default;
 
-    /// All rows at one point in time; rows that are not listed do not exist.
-    virtual void onSnapshot(const std::vector<Row> &rows) = 0;
+    /// All rows as of a version of the table; rows that are not listed did not exist then. A row
+    /// may be of a later version.
+    virtual void onSnapshot(const std::vector<Row> &rows, std::uint64_t version) = 0;
     /// Changes in the order in which they were committed.
     virtual void onChanges(const std::vector<RowChange> &changes) = 0;
     /// The table service has become unreachable, or reachable again.
--- a/Services/Carawaykeeld/RouterProcess.cpp
+++ b/Services/Carawaykeeld/RouterProcess.cpp
@@ -34,8 +34,8 @@
 /// Time that the process waits at exit for the reader of its log.
 constexpr Base::Milliseconds FinalFlushTimeout{200};
 
-/// A new configuration must be in force within two seconds.
-constexpr CarawaykeelPlatform::FeedTiming ConfigurationFeedTiming{
+/// A new configuration must be in force within two seconds, an evacuation within five.
+constexpr CarawaykeelPlatform::FeedTiming OperatorFeedTiming{
     Base::Milliseconds(1'000), Base::Milliseconds(50)};
 /// Each server writes its row every second or so, so that the table of a large fleet changes all
 /// the time. A server that leaves goes on for two seconds.
@@ -62,12 +62,15 @@
     Ingress::Router router(settings, reactor,
         {dialect, store, CarawaykeelPlatform::tryDecodeServerEntry,
             CarawaykeelPlatform::tryDecodeConfiguration, Names::ConfigurationKey,
+            Names::EvacuationKeyPrefix,
             [&tableCalls](Metrics::PrometheusWriter &writer) { tableCalls.writeTo(writer); }},
         logSink);
     Adapters::WorkerPool decoder(1, MaxQueuedDocuments);
-    CarawaykeelPlatform::StoreFeed configuration(settings.tableAddress, Names::OperatorTable,
-        ConfigurationFeedTiming, settings.tableTimeout, reactor, decoder, tableCalls,
-        router.configurationSubscriber());
+    // Evacuations come first: decoding a large configuration takes long on a small VM.
+    CarawaykeelPlatform::StoreFeed operatorTable(settings.tableAddress, Names::OperatorTable,
+        OperatorFeedTiming, settings.tableTimeout, reactor, decoder, tableCalls,
+        router.evacuationSubscriber());
+    operatorTable.addListener(router.configurationSubscriber());
     CarawaykeelPlatform::StoreFeed servers(settings.tableAddress, Names::ServerTable,
         ServerFeedTiming, settings.tableTimeout, reactor, decoder, tableCalls,
         router.serverListSubscriber());
@@ -80,7 +83,7 @@
     };
     router.start();
     watcher.start();
-    configuration.start();
+    operatorTable.start();
     servers.start();
     reactor.run();
     // Another thread still waits for documents and refers to the objects above, so the
--- a/Tests/Ingress/ServerListSubscriberTest.cpp
+++ b/Tests/Ingress/ServerListSubscriberTest.cpp
@@ -60,7 +60,7 @@
     void announceServers()
     {
         subscriber.onReachabilityChanged(true);
-        subscriber.onSnapshot({{"a", "ready", 1}, {"b", "ready", 2}});
+        subscriber.onSnapshot({{"a", "ready", 1}, {"b", "ready", 2}}, 2);
         run();
     }
 
@@ -88,7 +88,7 @@
         subscriber.onReachabilityChanged(false);
         run(6'000);
         subscriber.onReachabilityChanged(true);
-        subscriber.onSnapshot({{"b", "ready", 2}});
+        subscriber.onSnapshot({{"b", "ready", 2}}, 2);
         run();
         CPPUNIT_ASSERT(isUsable("a") && isUsable("b"));
         run(2'600);
@@ -172,7 +172,7 @@
         subscriber.onReceivedFromPeer({std::get<Forwarding::ServerEntry>(entry)});
         CPPUNIT_ASSERT(isUsable("a"));
         subscriber.onReachabilityChanged(true);
-        subscriber.onSnapshot({{"b", "ready", 2}});
+        subscriber.onSnapshot({{"b", "ready", 2}}, 2);
         run(3'000);
         CPPUNIT_ASSERT(!isUsable("a") && isUsable("b"));
         subscriber.onReceivedFromPeer({std::get<Forwarding::ServerEntry>(entry)});
--- a/Tests/Platform/StoreFeedTest.cpp
+++ b/Tests/Platform/StoreFeedTest.cpp
@@ -30,10 +30,11 @@
 class RecordingListener : public Platform::ChangeListener
 {
 public:
-    void onSnapshot(const std::vector<Platform::Row> &rows) override
+    void onSnapshot(const std::vector<Platform::Row> &rows, std::uint64_t version) override
     {
         for (const auto &row : rows)
             add("=" + row.key + ":" + row.value);
+        add(fmt::format("@{}", version));
     }
     void onChanges(const std::vector<Platform::RowChange> &changes) override
     {
@@ -80,20 +81,22 @@
     CPPUNIT_TEST(rowsThatCannotBeReadHideNoOthers);
     CPPUNIT_TEST_SUITE_END();
 
-    /// Runs a feed against a script until the listener has heard the text.
+    /// Runs a feed against a script until both listeners have heard the text.
     static bool reports(const ScriptedServer::Script &script, const std::string &text,
         CarawaykeelPlatform::FeedTiming timing = {Base::Milliseconds(500), Base::Milliseconds()})
     {
         ScriptedServer server(script);
         RecordingListener listener;
+        RecordingListener secondListener;
         CarawaykeelPlatform::StoreCallCounter counter;
         Net::ReactorThread thread;
         Adapters::WorkerPool decoder(1, 2);
         CarawaykeelPlatform::StoreFeed feed(server.address(), "servers", timing,
             Base::Milliseconds(300), thread.reactor(), decoder, counter, listener);
+        feed.addListener(secondListener);
         feed.start();
         thread.start();
-        const bool hasHeard = listener.waitFor(text);
+        const bool hasHeard = listener.waitFor(text) && secondListener.waitFor(text);
         thread.stop();
         decoder.stop();
         return hasHeard;
@@ -120,7 +123,7 @@
                     return {"", ScriptedResponse::Then::Hang};
                 }
             },
-            "reached =a:value =b:value +c -a "));
+            "reached =a:value =b:value @7 +c -a "));
     }
 
     void silenceIsNoticedAndTheFeedGoesOn()
@@ -135,7 +138,7 @@
                     return makeReply(makeRow("b", 8), 8);
                 return {"", ScriptedResponse::Then::Hang};
             },
-            "reached =a:value lost reached +b "));
+            "reached =a:value @7 lost reached +b "));
     }
 
     void expiredHistoryIsReadAnew()
@@ -143,12 +146,12 @@
         CPPUNIT_ASSERT(reports(
             [](const ReceivedRequest &, int number) -> ScriptedResponse {
                 if (number == 1 || number == 3)
-                    return makeReply(makeRow("a", 3), 7);
+                    return makeReply(makeRow("a", 3), number == 1 ? 7 : 9);
                 if (number == 2)
                     return {"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"};
                 return {"", ScriptedResponse::Then::Hang};
             },
-            "reached =a:value =a:value "));
+            "reached =a:value @7 =a:value @9 "));
     }
 
     void largePagesAreDecodedOnTheOtherThread()
@@ -159,6 +162,7 @@
             rows += (n == 0 ? "" : ",") + makeRow(fmt::format("k{}", n), 3);
             expected += fmt::format("=k{}:value ", n);
         }
+        expected += "@7 ";
         CPPUNIT_ASSERT(reports(
             [&](const ReceivedRequest &, int number) -> ScriptedResponse {
                 if (number == 1)
@@ -181,7 +185,7 @@
                     return makeReply(oddRows + makeRow("b", 8), 8);
                 return {"", ScriptedResponse::Then::Hang};
             },
-            "reached =x: =y: =z: =a:value +x +y +z +b "));
+            "reached =x: =y: =z: =a:value @7 +x +y +z +b "));
     }
 
     /// Pattern: the rows of a few hundred servers change all the time, so that each read returns at
@@ -190,7 +194,7 @@
     {
         constexpr Base::Milliseconds Interval(50);
         const auto startedAt = std::chrono::steady_clock::now();
-        std::string expected = "reached ";
+        std::string expected = "reached @1 ";
         for (int n = 1; n <= 20; ++n)
             expected += "+a ";
         CPPUNIT_ASSERT(reports(
--- a/Tests/Support/RouterHarness.cpp
+++ b/Tests/Support/RouterHarness.cpp
@@ -33,7 +33,7 @@
 RouterHarness::RouterHarness(
     Forwarding::Route route, const std::vector<std::string> &serverAddresses)
     : m_log({Base::InstanceName("test"), 1}, m_logSink)
-    , m_serverPool(Base::DataCentre("dc"), {}, m_random)
+    , m_serverPool(Base::DataCentre("none"), {}, m_random)
     , m_retryBudget(RetryPolicy, Base::Milliseconds() - RetryPolicy.window)
     , m_backlogBroadcaster(m_reactor, m_serverPool, [](const auto &) {})
     , m_quarantineStore(m_table, m_reactor, m_random)
@@ -55,7 +55,7 @@
         entry.name = Base::ServerName(fmt::format("server-{}", n));
         entry.service = Base::ServiceName("service");
         entry.address = address;
-        entry.dataCentre = Base::DataCentre("dc");
+        entry.dataCentre = Base::DataCentre(fmt::format("dc-{}", n));
         m_serverPool.addOrUpdate(entry);
         // Each server is more loaded than the one before, so that the order of attempts is fixed.
         for (int k = 0; k < n; ++k)
--- a/Tests/Support/RouterHarness.h
+++ b/Tests/Support/RouterHarness.h
@@ -31,7 +31,8 @@
 class RouterHarness
 {
 public:
-    /// Adds a server of the service "service" for each address. The first has the lowest load.
+    /// Adds a server of the service "service" for each address, in data centres "dc-0", "dc-1" and
+    /// so on. The first has the lowest load.
     RouterHarness(Forwarding::Route route, const std::vector<std::string> &serverAddresses);
     ~RouterHarness();
 
@@ -48,6 +49,11 @@
     static std::string makeRequest(const std::string &id, const std::string &fields = {},
         const std::string &method = "GET", const std::string &body = {});
 
+    /// Use on the reactor's thread only.
+    Net::Reactor &reactor() { return m_reactor; }
+    Forwarding::ServerPool &serverPool() { return m_serverPool; }
+    Ingress::ServerConnectionPool &serverConnections() { return m_serverConnections; }
+
 private:
     class UnlimitedBudget : public Budget::TokenBudget
     {
--- a/Tests/Support/RunningRouter.cpp
+++ b/Tests/Support/RunningRouter.cpp
@@ -4,6 +4,7 @@
 #include <Support/RouterHarness.h>
 #include <platform/ConfigurationDecoder.h>
 #include <platform/ServerEntryDecoder.h>
+#include <platform/WireNames.h>
 
 #include <chrono>
 #include <fmt/core.h>
@@ -29,6 +30,7 @@
     settings.callerAddress = makeLoopbackAddress();
     settings.readinessAddress = makeLoopbackAddress();
     settings.entryAddress = makeLoopbackAddress();
+    settings.metricsAddress = makeLoopbackAddress();
     settings.gossipAddress = makeLoopbackAddress();
     settings.peerAddress = makeLoopbackAddress();
     settings.peerKey = "key";
@@ -40,15 +42,16 @@
     , m_table(m_reactor)
     , m_router(m_settings, m_reactor,
           {m_dialect, m_table, CarawaykeelPlatform::tryDecodeServerEntry,
-              CarawaykeelPlatform::tryDecodeConfiguration, ConfigurationKey, {}},
+              CarawaykeelPlatform::tryDecodeConfiguration, ConfigurationKey,
+              CarawaykeelPlatform::WireNames::EvacuationKeyPrefix, {}},
           m_logSink)
 {
     m_router.start();
-    m_router.configurationSubscriber().onSnapshot({{ConfigurationKey, Configuration, 1}});
+    m_router.configurationSubscriber().onSnapshot({{ConfigurationKey, Configuration, 1}}, 1);
     const auto entry =
         fmt::format(R"({{"service":"one","address":"{}","zone":"dc","slots":64,"state":"ready"}})",
             serverAddress);
-    m_router.serverListSubscriber().onSnapshot({{"server", entry, 1}});
+    m_router.serverListSubscriber().onSnapshot({{"server", entry, 1}}, 1);
     m_thread = std::thread([this] {
         m_reactor.run();
         m_hasStopped = true;
--- a/Tests/Support/RunningRouter.h
+++ b/Tests/Support/RunningRouter.h
@@ -29,8 +29,13 @@
     /// True once the router has ended by itself.
     bool hasStopped() const { return m_hasStopped; }
 
+    /// Reports changes of the table `op` as the table service does.
+    Platform::ChangeListener &evacuationSubscriber() { return m_router.evacuationSubscriber(); }
+
     const std::string &callerAddress() const { return m_settings.callerAddress; }
     const std::string &entryAddress() const { return m_settings.entryAddress; }
+    const std::string &metricsAddress() const { return m_settings.metricsAddress; }
+    const MemoryLogSink &log() const { return m_logSink; }
 
 private:
     void waitUntilReady() const;
