Routing: Take evacuated data centres from the declaration

Cause: operators of the product's own interface could only name single servers as leaving.

Change: rules.json lists evacuated_data_centres, which must be those of the inventory. The dispatcher does not select servers there, and fails queued requests of a service that has no other server. /admin/state tells it of each server.

--- a/Libraries/Carawaykeel/Adapters/StateDump.cpp
+++ b/Libraries/Carawaykeel/Adapters/StateDump.cpp
@@ -129,6 +129,7 @@
         object.set("capacity", server.capacity);
         object.set("reported_load", server.reportedLoad);
         object.set("leaving", server.isLeaving);
+        object.set("evacuated", server.isEvacuated);
         object.set("ejected_until_ms", server.ejectedUntil.count());
         servers.add(object);
     }
--- a/Libraries/Carawaykeel/Configuration/Declaration.h
+++ b/Libraries/Carawaykeel/Configuration/Declaration.h
@@ -81,6 +81,7 @@
     std::vector<ServiceDeclaration> services;
     std::vector<EntryVm> entryVms;
     std::vector<Base::ServerName> leavingServers;
+    std::vector<Base::DataCentre> evacuatedDataCentres;
 };
 
 } // namespace Carawaykeel::Configuration
--- a/Libraries/Carawaykeel/Configuration/DeclarationParser.cpp
+++ b/Libraries/Carawaykeel/Configuration/DeclarationParser.cpp
@@ -59,6 +59,7 @@
         for (auto &reader : inventory.optionalObjects("vms"))
             readVm(reader);
         readLeavingServers(rules);
+        readEvacuatedDataCentres(rules);
         rules.rejectUnknownKeys();
         inventory.rejectUnknownKeys();
         root.rejectUnknownKeys();
@@ -160,6 +161,7 @@
         const auto name = reader.requireName("name");
         m_vms.add(reader, "name", name);
         const Base::DataCentre dataCentre(reader.requireName("data_centre"));
+        m_dataCentres.insert(dataCentre);
         const auto role = reader.requireChoice("role", RoleNames);
         if (role == 0) {
             m_declaration.entryVms.push_back({Base::InstanceName(name), dataCentre});
@@ -191,6 +193,18 @@
         }
     }
 
+    void readEvacuatedDataCentres(JsonObjectReader &rules)
+    {
+        constexpr std::string_view Key = "evacuated_data_centres";
+        for (const auto &name : rules.optionalStrings(Key)) {
+            const Base::DataCentre dataCentre(name);
+            if (!m_dataCentres.contains(dataCentre)) {
+                rules.addError(Key, "names of data centres in the inventory, not \"" + name + "\"");
+            }
+            m_declaration.evacuatedDataCentres.push_back(dataCentre);
+        }
+    }
+
     Declaration &m_declaration;
     ValidationErrors &m_errors;
     UniqueNames m_budgets;
@@ -200,6 +214,7 @@
     UniqueNames m_vms;
     std::set<std::string> m_keyDigests;
     std::set<std::string> m_serverNames;
+    std::set<Base::DataCentre> m_dataCentres;
     std::vector<int> m_capacities;
 };
 
--- a/Libraries/Carawaykeel/Instance/Instance.cpp
+++ b/Libraries/Carawaykeel/Instance/Instance.cpp
@@ -146,6 +146,8 @@
         m_grantHolder.topUps().setDeclared(budget.id, std::move(orders));
     }
     m_declaredLeaving = {declaration.leavingServers.begin(), declaration.leavingServers.end()};
+    m_dispatcher.setEvacuatedDataCentres(
+        {declaration.evacuatedDataCentres.begin(), declaration.evacuatedDataCentres.end()});
     applyServices(declaration);
     applyLeavingServers();
     if (!m_isShuttingDown)
--- a/Libraries/Carawaykeel/Routing/Dispatcher.cpp
+++ b/Libraries/Carawaykeel/Routing/Dispatcher.cpp
@@ -52,6 +52,7 @@
         state.dataCentre = definition.dataCentre;
         state.capacity = definition.capacity;
         state.isLeaving = m_leaving.contains(definition.name);
+        state.isEvacuated = m_evacuated.contains(definition.dataCentre);
         updated.push_back(std::move(state));
     }
     service.servers = std::move(updated);
@@ -99,7 +100,7 @@
 bool Dispatcher::hasUsableServer(const Service &service) const
 {
     return std::any_of(service.servers.begin(), service.servers.end(),
-        [](const ServerState &server) { return !server.isLeaving; });
+        [](const ServerState &server) { return server.isEligible(); });
 }
 
 bool Dispatcher::hasSlotFor(const Service &service, Priority priority) const
@@ -107,7 +108,7 @@
     int capacity = 0;
     int free = 0;
     for (const auto &server : service.servers) {
-        if (server.isLeaving)
+        if (!server.isEligible())
             continue;
         capacity += server.capacity;
         free += std::max(0, server.capacity - server.inFlight);
@@ -251,7 +252,7 @@
                 --service.queuedCount;
                 ++m_counters.withoutServer;
                 fail(pending, Base::ErrorKind::NoServerAvailable,
-                    "the last server of the service is leaving", DefaultRetryAfter);
+                    "the last server of the service is leaving or evacuated", DefaultRetryAfter);
             }
         }
         return;
@@ -306,10 +307,23 @@
 void Dispatcher::setLeavingServers(const std::set<Base::ServerName> &leaving)
 {
     m_leaving = leaving;
+    updateEligibility();
+}
+
+void Dispatcher::setEvacuatedDataCentres(const std::set<Base::DataCentre> &evacuated)
+{
+    m_evacuated = evacuated;
+    updateEligibility();
+}
+
+void Dispatcher::updateEligibility()
+{
     std::vector<Base::ServiceName> names;
     for (auto &[name, service] : m_services) {
-        for (auto &server : service.servers)
+        for (auto &server : service.servers) {
             server.isLeaving = m_leaving.contains(server.name);
+            server.isEvacuated = m_evacuated.contains(server.dataCentre);
+        }
         names.push_back(name);
     }
     for (const auto &name : names)
--- a/Libraries/Carawaykeel/Routing/Dispatcher.h
+++ b/Libraries/Carawaykeel/Routing/Dispatcher.h
@@ -86,6 +86,9 @@
     /// Sets the servers that get no new requests. Replaces the previous set.
     void setLeavingServers(const std::set<Base::ServerName> &leaving);
 
+    /// Sets the data centres whose servers get no new requests. Replaces the previous set.
+    void setEvacuatedDataCentres(const std::set<Base::DataCentre> &evacuated);
+
     void updateReportedLoad(const Base::ServerName &server, double load);
 
     /// Takes one retry from the service's retry budget. Returns false when the budget is exhausted.
@@ -115,6 +118,7 @@
     bool tryDispatch(Service &service, PendingRequest &pending);
     bool hasSlotFor(const Service &service, Priority priority) const;
     bool hasUsableServer(const Service &service) const;
+    void updateEligibility();
     void dispatchQueued(const Base::ServiceName &name);
     bool tryDispatchNext(Service &service);
     void scheduleWakeUp(const Base::ServiceName &name, Service &service);
@@ -131,6 +135,7 @@
     const RoutingPolicy m_policy;
     std::map<Base::ServiceName, Service> m_services;
     std::set<Base::ServerName> m_leaving;
+    std::set<Base::DataCentre> m_evacuated;
     std::uint64_t m_lastSequenceNumber = 0;
     DispatchCounters m_counters;
 };
--- a/Libraries/Carawaykeel/Routing/ServerSelection.cpp
+++ b/Libraries/Carawaykeel/Routing/ServerSelection.cpp
@@ -18,7 +18,7 @@
     std::vector<std::size_t> healthy;
     std::vector<std::size_t> ejected;
     for (std::size_t n = 0; n < servers.size(); ++n) {
-        if (servers[n].isLeaving)
+        if (!servers[n].isEligible())
             continue;
         (servers[n].ejectedUntil > now ? ejected : healthy).push_back(n);
     }
--- a/Libraries/Carawaykeel/Routing/ServerState.h
+++ b/Libraries/Carawaykeel/Routing/ServerState.h
@@ -22,11 +22,15 @@
     double reportedLoad = 0;
     Base::Milliseconds reportedAt;
     bool isLeaving = false;
+    /// The operators have declared its data centre evacuated.
+    bool isEvacuated = false;
     int consecutiveFailures = 0;
     /// The server is ejected until this time.
     Base::Milliseconds ejectedUntil;
     Base::Milliseconds ejectionTime;
 
+    /// Returns true if the server may get new requests.
+    bool isEligible() const { return !isLeaving && !isEvacuated; }
     bool hasFreeSlot() const { return inFlight < capacity; }
 };
 
--- a/Tests/Fleet/LeavingTest.cpp
+++ b/Tests/Fleet/LeavingTest.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(serverAnnouncementReachesAllInstances);
     CPPUNIT_TEST(serverAnnouncementReachesAllInstancesWhileThePlatformIsDown);
     CPPUNIT_TEST(declarationReachesAllInstances);
+    CPPUNIT_TEST(declaredEvacuationReachesAllInstances);
     CPPUNIT_TEST(requestIsRefusedWhenAllServersAreLeaving);
     CPPUNIT_TEST(shutDownFinishesInFlightRequests);
     CPPUNIT_TEST(shutDownDuringOutageEndsInBoundedTime);
@@ -89,6 +90,47 @@
         requireLeavingOnAllInstances(fleet);
     }
 
+    /// Requests that reach an evacuated data centre, and names that no data centre has.
+    void declaredEvacuationReachesAllInstances()
+    {
+        VirtualFleet fleet(5, 4);
+        fleet.start(Base::Tokens(10'000));
+        const auto apply = [&](std::uint64_t version, const std::string &names) {
+            auto document = fleet.declaration;
+            document.replace(document.find("\"rules\":{"), 9,
+                R"("rules":{"evacuated_data_centres":[)" + names + "],");
+            bool isAccepted = false;
+            fleet.at(1).instance().configuration().apply(document, version,
+                Base::OperationId(names),
+                [&](const Base::Outcome<Configuration::ApplyResult> &outcome) {
+                    isAccepted = outcome.index() == 0;
+                });
+            fleet.run(LeavingBoundMs);
+            return isAccepted;
+        };
+        CPPUNIT_ASSERT(!apply(1, R"("dc-9")"));
+        CPPUNIT_ASSERT(apply(1, R"("dc-0","dc-1")"));
+        for (int n = 0; n < fleet.count(); ++n) {
+            auto slow = makePlainRequest();
+            slow.duration = Base::Milliseconds(2'000);
+            for (int request = 0; request < 5; ++request)
+                fleet.request(n, slow);
+            fleet.run(100);
+            int running = 0;
+            for (const auto &server : fleet.at(n).instance().dispatcher().servers()) {
+                CPPUNIT_ASSERT_EQUAL(server.dataCentre.text() == "dc-2", server.isEligible());
+                CPPUNIT_ASSERT(server.isEligible() || server.inFlight == 0);
+                running += server.inFlight;
+            }
+            CPPUNIT_ASSERT_EQUAL(5, running);
+        }
+        CPPUNIT_ASSERT(apply(2, R"("dc-0","dc-1","dc-2")"));
+        const auto response = fleet.request(0, makePlainRequest());
+        fleet.run(100);
+        CPPUNIT_ASSERT(response->isFinished);
+        CPPUNIT_ASSERT(response->kind == Base::ErrorKind::NoServerAvailable);
+    }
+
     void requestIsRefusedWhenAllServersAreLeaving()
     {
         VirtualFleet fleet(4, 4);
