Platform: Decode what servers and services say about coldness

Cause: the limit for cold servers needs coldS and coldPerS of a service, X-Cold-Ms of responses, and whether an entry states coldLeftMs at all; none of these were read.

Change: they are decoded within bounds. X-Cold-Ms of a response with 421 is ignored, since another server sent it. Whether an entry states the time is not relayed between instances, since earlier versions reject entries with further fields.

--- a/Libraries/Carawaykeel/Forwarding/ResponseMetadata.h
+++ b/Libraries/Carawaykeel/Forwarding/ResponseMetadata.h
@@ -29,6 +29,8 @@
     /// The response carries the server's stamp. A successful response without it counts as invalid.
     bool hasServerStamp = false;
     std::optional<ReportedLoad> reportedLoad;
+    /// How much longer the server is cold; empty if it is warm or does not say.
+    std::optional<Base::Milliseconds> remainingColdTime;
     /// How long the server keeps an idle connection open.
     std::optional<Base::Milliseconds> idleTimeout;
 };
--- a/Libraries/Carawaykeel/Forwarding/RouterConfiguration.h
+++ b/Libraries/Carawaykeel/Forwarding/RouterConfiguration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Carawaykeel/Base/Milliseconds.h>
 #include <Carawaykeel/Base/Tokens.h>
 #include <Carawaykeel/Forwarding/Route.h>
 
@@ -34,6 +35,10 @@
     int maxConnections = 0;
     /// Maximum number of tokens in one stream event; zero when the servers are not model engines.
     int tokensPerEvent = 0;
+    /// How long a server is cold after its start.
+    Base::Milliseconds coldTime;
+    /// Requests per second that a cold server tolerates; zero when there is no such limit.
+    double coldRequestsPerSecond = 0;
 };
 
 /// Limits on requests and connections of callers.
--- a/Libraries/Carawaykeel/Forwarding/ServerEntry.h
+++ b/Libraries/Carawaykeel/Forwarding/ServerEntry.h
@@ -23,6 +23,9 @@
     Base::Milliseconds remainingWarmUpTime;
     /// Start time of the server as Unix time; distinguishes incarnations with the same name.
     std::int64_t startedAt = 0;
+    /// The announcement states the remaining warm-up time. Not relayed to other instances, since
+    /// earlier versions reject entries with further fields.
+    bool hasWarmUpTime = false;
 
     bool operator==(const ServerEntry &) const = default;
 
--- a/Tests/Platform/DecoderTest.cpp
+++ b/Tests/Platform/DecoderTest.cpp
@@ -16,7 +16,8 @@
 "maxAttempts":2,"public":false,"sticky":true,"canResume":true,"gapTargetMs":500},
 {"name":"r2","host":"a.example","prefix":"/q/","kind":"safe","timeoutMs":800,"goalMs":100,
 "priority":2,"service":"two","maxAttempts":2,"public":true}],
-"services":[{"name":"one","healthPath":"/health","maxConns":370,"engine":{"slots":64,"stride":6}},
+"services":[{"name":"one","healthPath":"/health","maxConns":370,"coldS":2.5,"coldPerS":10.0,
+"engine":{"slots":64,"stride":6}},
 {"name":"two","healthPath":"/health","maxConns":110}],
 "limits":{"headerBytes":16384,"bodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[{"name":"red","apiKeys":["k1","k2"],"priority":1,"prepaid":3179661},
@@ -60,6 +61,7 @@
     CPPUNIT_TEST(requestHeadersAreParsed);
     CPPUNIT_TEST(responseHeadersAreParsed);
     CPPUNIT_TEST(serversRetryAfterIsParsed);
+    CPPUNIT_TEST(serversColdTimeIsParsed);
     CPPUNIT_TEST(exhaustedBudgetIsPaymentRequired);
     CPPUNIT_TEST_SUITE_END();
 
@@ -82,6 +84,11 @@
             6, configuration.findService(Base::ServiceName("one"))->tokensPerEvent);
         CPPUNIT_ASSERT_EQUAL(
             0, configuration.findService(Base::ServiceName("two"))->tokensPerEvent);
+        const auto *one = configuration.findService(Base::ServiceName("one"));
+        CPPUNIT_ASSERT(one->coldTime == Base::Milliseconds(2'500));
+        CPPUNIT_ASSERT_EQUAL(10.0, one->coldRequestsPerSecond);
+        const auto *two = configuration.findService(Base::ServiceName("two"));
+        CPPUNIT_ASSERT(two->coldTime == Base::Milliseconds() && two->coldRequestsPerSecond == 0);
         CPPUNIT_ASSERT(configuration.findTeamByKey("k2")->prepaidTokens == Base::Tokens(3'179'661));
         CPPUNIT_ASSERT(!configuration.findTeamByKey("k3")->prepaidTokens);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(15'000), configuration.limits().idleTimeout.count());
@@ -96,6 +103,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("10.128.0.9:8080"), entry.address);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(1'700'000'000'123), entry.startedAt);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(250), entry.remainingWarmUpTime.count());
+        CPPUNIT_ASSERT(entry.hasWarmUpTime);
         CPPUNIT_ASSERT(!entry.isLeaving);
     }
 
@@ -151,6 +159,12 @@
             decodeConfiguration(replaced(Document, "3179661", "1e40"))));
         CPPUNIT_ASSERT(std::holds_alternative<Base::Failure>(
             decodeConfiguration(replaced(Document, "3179661", "-7"))));
+        for (const auto *number : {"-1", "1e300", "\"long\""}) {
+            CPPUNIT_ASSERT(std::holds_alternative<Base::Failure>(
+                decodeConfiguration(replaced(Document, "2.5", number))));
+            CPPUNIT_ASSERT(std::holds_alternative<Base::Failure>(
+                decodeConfiguration(replaced(Document, "10.0", number))));
+        }
     }
 
     /// Random bytes are changed and documents truncated, with a fixed seed.
@@ -235,6 +249,22 @@
         CPPUNIT_ASSERT(!read("2"));
     }
 
+    void serversColdTimeIsParsed()
+    {
+        Poco::Net::HTTPResponse head;
+        const auto read = [&](const std::string &text) {
+            head.set("X-Cold-Ms", text);
+            return dialect.readResponse(head).remainingColdTime;
+        };
+        CPPUNIT_ASSERT(read("250") == Base::Milliseconds(250));
+        CPPUNIT_ASSERT(read("250.5") == Base::Milliseconds(250));
+        for (const auto *text : {"", "0", "-1", "soon", "nan", "inf"})
+            CPPUNIT_ASSERT_MESSAGE(text, !read(text));
+        // The server that responds is not the one that the request was sent to.
+        head.setStatus(Poco::Net::HTTPResponse::HTTP_MISDIRECTED_REQUEST);
+        CPPUNIT_ASSERT(!read("250"));
+    }
+
     void exhaustedBudgetIsPaymentRequired()
     {
         CPPUNIT_ASSERT_EQUAL(402, dialect.httpStatusOf(Base::ErrorKind::BudgetExhausted));
