Forwarding: Limit the requests to cold servers

Cause: a cold server is slow and crashes under many requests, and a restarted server got its full share from all instances at once.

Change: with the section cold_servers in the settings and a coldPerS of the service, a cold server gets nothing while its service has an eligible warm one. Otherwise one instance sends to it, under a permit that is a conditional row in the router's table with an end by the table's clock, evenly spaced at coldPerS requests a second. Other requests are rejected at once as not run, with the remaining cold time as Retry-After. After the cold time the server's cost falls over a period of the same length. Without the section or coldPerS nothing changes.

--- a/Libraries/Carawaykeel/Forwarding/ServerPool.cpp
+++ b/Libraries/Carawaykeel/Forwarding/ServerPool.cpp
@@ -87,8 +87,6 @@
     });
 }
 
-void ServerPool::onDataCentreReturned(const Base::DataCentre &, Base::Milliseconds) { }
-
 const ServerEntry *ServerPool::findEntry(const Base::ServerName &name) const
 {
     const auto it = m_servers.find(name);
@@ -123,8 +121,10 @@
 {
     std::vector<const KnownServer *> eligible;
     std::vector<const KnownServer *> notAvoided;
+    const bool onlyCold = hasOnlyColdServers(hint.service, now);
     for (const auto &[name, server] : m_servers) {
-        if (!isEligible(server, hint.service, now) || hint.triedServers.contains(name))
+        if (!isEligible(server, hint.service, now) || hint.triedServers.contains(name)
+            || !isOpen(server, onlyCold, now))
             continue;
         eligible.push_back(&server);
         if (server.avoidedUntil <= now)
@@ -191,6 +191,7 @@
             + static_cast<double>(uncached.count())
             + static_cast<double>(sharedTokens.count()) * (m_policy.duplicateCacheFactor - 1)
             + (isLocal ? 0 : m_policy.otherDataCentreCostRequests * m_policy.requestCostTokens)
+            + m_coldServers.slowStartShare(server->entry, now) * m_policy.slowStartCostTokens
             + tieBreak(m_random);
         if (!best || cost < lowestCost) {
             best = server;
@@ -209,7 +210,9 @@
     for (const auto *server : candidates) {
         const bool isLocal = server->entry.dataCentre == m_ownDataCentre;
         const auto load = loadOf(*server, now)
-            + (isLocal ? 0 : m_policy.otherDataCentreCostRequests) + tieBreak(m_random);
+            + (isLocal ? 0 : m_policy.otherDataCentreCostRequests)
+            + m_coldServers.slowStartShare(server->entry, now) * m_policy.slowStartCostRequests
+            + tieBreak(m_random);
         if (!best || load < bestLoad) {
             best = server;
             bestLoad = load;
@@ -221,9 +224,11 @@
 bool ServerPool::hasUntriedServer(const Base::ServiceName &service,
     const std::set<Base::ServerName> &triedServers, Base::Milliseconds now) const
 {
+    const bool onlyCold = hasOnlyColdServers(service, now);
     return std::ranges::any_of(m_servers, [&](const auto &item) {
         const auto &[name, server] = item;
-        return isEligible(server, service, now) && !triedServers.contains(name);
+        return isEligible(server, service, now) && !triedServers.contains(name)
+            && isOpen(server, onlyCold, now);
     });
 }
 
@@ -262,6 +267,7 @@
     if (it == m_servers.end())
         return {};
     auto &server = it->second;
+    m_coldServers.onRequestSent(server.entry, now);
     ++server.inFlight;
     ++server.sentSinceReport;
     const auto uncached = server.promptCache.countUncachedTokens(prompt, now);
--- a/Libraries/Carawaykeel/Forwarding/ServerPool.h
+++ b/Libraries/Carawaykeel/Forwarding/ServerPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Carawaykeel/Base/ExponentialBackoff.h>
+#include <Carawaykeel/Forwarding/ColdServers.h>
 #include <Carawaykeel/Forwarding/KnownServer.h>
 #include <Carawaykeel/Forwarding/RequestMetadata.h>
 #include <Carawaykeel/Forwarding/ServerBacklog.h>
@@ -42,6 +43,18 @@
     double failureWeight = 0.2;
     /// Cost of a server that fails every request, in requests.
     double failureCostRequests = 12;
+    /// Cost of a server that has just become warm, in requests and in prompt tokens. It falls to
+    /// zero over a period as long as the cold time. As high as the cost of a server that fails
+    /// every request, so that the first requests go to the others.
+    double slowStartCostRequests = 12;
+    double slowStartCostTokens = 30'000;
+};
+
+/// A cold server whose service has no eligible server that is warm.
+struct NeededColdServer
+{
+    ServerIncarnation server;
+    Base::Milliseconds remainingColdTime;
 };
 
 /// Properties of a request that influence the selection of its server.
@@ -55,15 +68,6 @@
     std::set<Base::ServerName> triedServers;
 };
 
-/// Identifies one life of a server.
-struct ServerIncarnation
-{
-    Base::ServerName name;
-    std::int64_t startedAt = 0;
-
-    bool operator==(const ServerIncarnation &) const = default;
-};
-
 /// The announced servers and the selection among them.
 class ServerPool
 {
@@ -100,8 +104,6 @@
     bool isEvacuated(const Base::DataCentre &dataCentre) const;
     /// Returns true if the service has no eligible server, but would have one without evacuations.
     bool isBlockedByEvacuation(const Base::ServiceName &service, Base::Milliseconds now) const;
-    /// Called when the evacuation of a data centre is lifted.
-    void onDataCentreReturned(const Base::DataCentre &dataCentre, Base::Milliseconds now);
 
     /// Returns the entry of a server; null when it is not announced.
     const ServerEntry *findEntry(const Base::ServerName &name) const;
@@ -134,6 +136,29 @@
     void onLoadReport(
         const Base::ServerName &name, const ReportedLoad &load, Base::Milliseconds now);
 
+    /// Knows which servers are cold.
+    ColdServers &coldServers() { return m_coldServers; }
+    const ColdServers &coldServers() const { return m_coldServers; }
+    /// Records when an entry was received, which says how much longer its server is cold. Call
+    /// with each entry besides addOrUpdate().
+    void onEntryReceived(const ServerEntry &entry, Base::Milliseconds now);
+    /// Records that a response stated how much longer its server is cold.
+    void onColdTimeStated(
+        const Base::ServerName &name, Base::Milliseconds duration, Base::Milliseconds now);
+    /// Records that a server refused or lost a connection.
+    void onConnectionFailed(const Base::ServerName &name, Base::Milliseconds now);
+    /// Records that the evacuation of a data centre was lifted: all servers there count as cold
+    /// for the declared cold time of their service.
+    void onDataCentreReturned(const Base::DataCentre &dataCentre, Base::Milliseconds now);
+    /// Returns the eligible servers that are cold and whose service has no eligible warm one.
+    std::vector<NeededColdServer> neededColdServers(Base::Milliseconds now) const;
+    /// Returns true while a server is announced, as this incarnation, and cold.
+    bool isCold(const ServerIncarnation &server, Base::Milliseconds now) const;
+    /// Returns the shortest time until a server of the service is warm, if all its eligible
+    /// servers are cold.
+    std::optional<Base::Milliseconds> timeUntilWarm(
+        const Base::ServiceName &service, Base::Milliseconds now) const;
+
     /// Returns true while the server is announced and not leaving.
     bool isUsable(const Base::ServerName &name) const;
 
@@ -150,6 +175,11 @@
     /// Returns true if a server of the service may get new requests.
     bool isEligible(
         const KnownServer &server, const Base::ServiceName &service, Base::Milliseconds now) const;
+    /// Returns true if the service has eligible servers and all of them are cold.
+    bool hasOnlyColdServers(const Base::ServiceName &service, Base::Milliseconds now) const;
+    /// Returns true if an eligible server is warm, or is cold and may get a request of this
+    /// instance now.
+    bool isOpen(const KnownServer &server, bool hasOnlyColdServers, Base::Milliseconds now) const;
     double estimatedRequestsAt(const KnownServer &server, Base::Milliseconds now) const;
     double loadOf(const KnownServer &server, Base::Milliseconds now) const;
     const KnownServer *preferredServer(const ServerSelectionHint &hint) const;
@@ -168,6 +198,7 @@
     /// Pauses that last, by server, also while its entry has expired.
     std::map<Base::ServerName, Pause> m_pauses;
     std::set<Base::DataCentre> m_evacuatedDataCentres;
+    ColdServers m_coldServers;
 };
 
 } // namespace Carawaykeel::Forwarding
--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -93,9 +93,9 @@
         const auto *server = m_context.serverPool.selectServer(
             {m_service, m_requestMetadata.promptParts, m_triedServers}, now);
         if (!server) {
-            return fail(
-                {m_mayHaveRun ? Base::ErrorKind::ServerFailed : Base::ErrorKind::NoServerAvailable,
-                    "no server is left to try", noServerRetryAfter()});
+            return fail(noServerFailure(
+                m_mayHaveRun ? Base::ErrorKind::ServerFailed : Base::ErrorKind::NoServerAvailable,
+                "no server is left to try"));
         }
         m_server = server->entry.name;
         m_serverDataCentre = server->entry.dataCentre;
@@ -105,6 +105,7 @@
         if (!m_connection) {
             m_context.serverPool.onRequestSent(m_server, {}, now);
             m_context.serverPool.onAttemptEnded(m_server, true, now);
+            m_context.serverPool.onConnectionFailed(m_server, now);
             continue;
         }
         ++m_sentAttempts;
@@ -169,6 +170,10 @@
     Http::removeFramingFields(*m_response.head);
     if (metadata.reportedLoad)
         m_context.serverPool.onLoadReport(m_server, *metadata.reportedLoad, m_lastActivityAt);
+    if (metadata.remainingColdTime) {
+        m_context.serverPool.onColdTimeStated(
+            m_server, *metadata.remainingColdTime, m_lastActivityAt);
+    }
     if (metadata.isServerLeaving && m_context.serverPool.onServerLeaving(m_server)) {
         m_context.log.info(Logging::LogEvent::ServerLeavingAnswered,
             Logging::LogFields().add("server", m_server.text()).add("id", m_requestMetadata.id));
@@ -283,10 +288,19 @@
 void Exchange::failAttempt(Forwarding::AttemptOutcome outcome)
 {
     m_connection->cancel();
-    onResponseFailed(outcome);
+    endFailedAttempt(outcome);
 }
 
 void Exchange::onResponseFailed(Forwarding::AttemptOutcome outcome)
+{
+    const bool isConnectionFailure = outcome == Forwarding::AttemptOutcome::NotSent
+        || outcome == Forwarding::AttemptOutcome::ConnectionLost;
+    if (isConnectionFailure && !m_isFinished)
+        m_context.serverPool.onConnectionFailed(m_server, m_context.reactor.now());
+    endFailedAttempt(outcome);
+}
+
+void Exchange::endFailedAttempt(Forwarding::AttemptOutcome outcome)
 {
     const auto self = shared_from_this();
     if (m_isFinished)
--- a/Libraries/Carawaykeel/Ingress/Exchange.h
+++ b/Libraries/Carawaykeel/Ingress/Exchange.h
@@ -67,6 +67,9 @@
     static Base::Failure quarantineFailure(Base::Milliseconds retryAfter);
     Base::Milliseconds noServerRetryAfter() const;
     void recordEvacuationRejection(const Base::Failure &failure);
+    /// Returns the failure of a request that no server can get now, and counts it if servers are
+    /// only held back because they are cold.
+    Base::Failure noServerFailure(Base::ErrorKind kind, std::string_view reason);
     bool isStream() const { return m_route.kind == Forwarding::RouteKind::Stream; }
     bool isSuccess() const;
     bool isBrokenOff() const;
@@ -81,6 +84,7 @@
     void endAttempt(bool hasFailed);
     void cancelAttempt();
     void failAttempt(Forwarding::AttemptOutcome outcome);
+    void endFailedAttempt(Forwarding::AttemptOutcome outcome);
     void handleAttemptOutcome(Forwarding::AttemptOutcome outcome);
     void forwardEvents(std::string_view bytes);
     void beginStream();
--- a/Libraries/Carawaykeel/Ingress/ExchangeAdmission.cpp
+++ b/Libraries/Carawaykeel/Ingress/ExchangeAdmission.cpp
@@ -41,7 +41,10 @@
 
 Base::Milliseconds Exchange::noServerRetryAfter() const
 {
-    const auto pause = m_context.serverPool.timeUntilUnpaused(m_service, m_context.reactor.now());
+    const auto now = m_context.reactor.now();
+    auto pause = m_context.serverPool.timeUntilUnpaused(m_service, now);
+    if (!pause)
+        pause = m_context.serverPool.timeUntilWarm(m_service, now);
     if (!pause)
         return NoServerRetryAfter;
     // Spreads the callers that come back, so that the server does not meet all of them at once.
@@ -63,6 +66,14 @@
     m_context.metrics.recordEvacuationRejection();
 }
 
+Base::Failure Exchange::noServerFailure(Base::ErrorKind kind, std::string_view reason)
+{
+    if (!m_context.serverPool.timeUntilWarm(m_service, m_context.reactor.now()))
+        return {kind, std::string(reason), noServerRetryAfter()};
+    ++m_context.heldBackRequests;
+    return {kind, "only cold servers without room are left", noServerRetryAfter()};
+}
+
 Base::Result<void> Exchange::tryAdmit()
 {
     BOOST_LEAF_ASSIGN(m_requestMetadata, m_context.dialect.tryReadRequest(*m_head));
@@ -100,8 +111,8 @@
         m_priority.reset();
     m_timeout = std::min(m_route.timeout, m_requestMetadata.timeout.value_or(m_route.timeout));
     if (!m_context.serverPool.hasUntriedServer(m_service, m_triedServers, m_startedAt)) {
-        return boost::leaf::new_error(Base::Failure{
-            Base::ErrorKind::NoServerAvailable, "no server takes requests", noServerRetryAfter()});
+        return boost::leaf::new_error(
+            noServerFailure(Base::ErrorKind::NoServerAvailable, "no server takes requests"));
     }
     m_context.dialect.removeReservedHeaders(*m_head);
     Http::removeHopByHopFields(*m_head);
--- a/Libraries/Carawaykeel/Ingress/ExchangeContext.h
+++ b/Libraries/Carawaykeel/Ingress/ExchangeContext.h
@@ -41,6 +41,8 @@
     int activeExchanges = 0;
     /// Number of requests since the start.
     std::uint64_t startedExchanges = 0;
+    /// Number of requests that were rejected because only cold servers without room were left.
+    std::uint64_t heldBackRequests = 0;
 };
 
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -75,6 +75,9 @@
     , m_promptReportTransport(m_membership)
     , m_quarantineStore(m_dependencies.table, reactor, m_random)
     , m_promptGuard(reactor, m_promptReportTransport, m_quarantineStore, m_random, m_log)
+    , m_coldPermits(
+          m_self.id, m_dependencies.table, reactor, m_serverPool,
+          [this] { return permitCandidates(); }, m_log)
     , m_buffers(m_settings.bufferLimit, reactor, m_log)
     , m_peerBuffer(m_buffers, BufferKind::Other)
     , m_serverConnections(reactor, m_dependencies.dialect, m_buffers)
@@ -186,6 +189,7 @@
     m_membership->start();
     m_allotments.start();
     m_promptGuard.start();
+    startColdServerLimit();
     runMaintenance();
 }
 
@@ -193,6 +197,7 @@
 {
     const auto previous = std::exchange(m_context.configuration, configuration);
     m_membership->setConfigurationVersion(configuration->version());
+    m_serverPool.coldServers().setConfiguration(configuration);
     std::vector<Budget::PrepaidTokens> prepaid;
     for (const auto &team : configuration->teams()) {
         if (!team.prepaidTokens)
--- a/Libraries/Carawaykeel/Ingress/Router.h
+++ b/Libraries/Carawaykeel/Ingress/Router.h
@@ -5,6 +5,7 @@
 #include <Carawaykeel/Ingress/AllotmentLogger.h>
 #include <Carawaykeel/Ingress/BufferAccount.h>
 #include <Carawaykeel/Ingress/CallerListener.h>
+#include <Carawaykeel/Ingress/ColdPermitStore.h>
 #include <Carawaykeel/Ingress/ConfigurationSubscriber.h>
 #include <Carawaykeel/Ingress/EntryHandler.h>
 #include <Carawaykeel/Ingress/EntrySelection.h>
@@ -77,6 +78,8 @@
     void onPeerMessage(const Peer::PeerEnvelope &envelope);
     Membership::MembershipEvents membershipEvents();
     void sendServerList(const Base::InstanceId &to);
+    void startColdServerLimit();
+    std::vector<Base::InstanceId> permitCandidates() const;
     void requestServerList();
     void measureLoad();
     void runMaintenance();
@@ -84,6 +87,7 @@
     std::string metricsPage() const;
     void writeBufferMetrics(Metrics::PrometheusWriter &writer) const;
     void writeEvacuationMetrics(Metrics::PrometheusWriter &writer) const;
+    void writeColdServerMetrics(Metrics::PrometheusWriter &writer) const;
     void writePeerMetrics(Metrics::PrometheusWriter &writer) const;
     void awaitActiveExchanges(Base::Milliseconds deadline);
     void returnTokens(Base::Milliseconds deadline);
@@ -101,6 +105,7 @@
     GossipReportTransport m_promptReportTransport;
     QuarantineStore m_quarantineStore;
     PromptGuard m_promptGuard;
+    ColdPermitStore m_coldPermits;
     RouterMetrics m_metrics;
     BufferAccount m_buffers;
     HeldBuffer m_peerBuffer;
--- a/Libraries/Carawaykeel/Ingress/RouterMetricsPage.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterMetricsPage.cpp
@@ -55,6 +55,7 @@
         "Instances that the slack of repeats is divided by.",
         m_retryBudget.instanceCount().value_or(0));
     writeEvacuationMetrics(writer);
+    writeColdServerMetrics(writer);
     writeBufferMetrics(writer);
     m_allotments.writeMetrics(writer);
     writePeerMetrics(writer);
--- a/Libraries/Carawaykeel/Ingress/RouterSettings.h
+++ b/Libraries/Carawaykeel/Ingress/RouterSettings.h
@@ -3,11 +3,13 @@
 #include <Carawaykeel/Base/Identifier.h>
 #include <Carawaykeel/Base/Milliseconds.h>
 #include <Carawaykeel/Budget/AllotmentPolicy.h>
+#include <Carawaykeel/Forwarding/ColdServers.h>
 #include <Carawaykeel/Forwarding/RetryBudget.h>
 #include <Carawaykeel/Forwarding/ServerPool.h>
 #include <Carawaykeel/Logging/LogRateLimiter.h>
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +54,8 @@
     std::uint32_t capacity = 0;
     Forwarding::RetryBudgetPolicy retries;
     Forwarding::ServerSelectionPolicy serverSelection;
+    /// Empty if requests to cold servers are not limited.
+    std::optional<Forwarding::ColdServerPolicy> coldServers;
     Budget::AllotmentPolicy allotments;
     Logging::LogLimits log;
 };
--- a/Libraries/Carawaykeel/Ingress/RouterSettingsParser.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterSettingsParser.cpp
@@ -67,6 +67,16 @@
     reader.rejectUnknownKeys();
 }
 
+void readColdServers(JsonObjectReader reader, std::optional<Forwarding::ColdServerPolicy> &policy)
+{
+    constexpr double MaxOverFactor = 100;
+    constexpr double MaxSlack = 1'000'000;
+    policy.emplace();
+    policy->overFactor = reader.optionalNumber("over_factor", policy->overFactor, 0, MaxOverFactor);
+    policy->slack = reader.optionalNumber("slack", policy->slack, 0, MaxSlack);
+    reader.rejectUnknownKeys();
+}
+
 void readAllotments(JsonObjectReader reader, Budget::AllotmentPolicy &policy)
 {
     readMilliseconds(reader, "horizon_ms", policy.horizon);
@@ -118,6 +128,8 @@
     readPeers(root.requireObject("peers"), settings);
     readVm(root.optionalObject("vm"), settings);
     readRetries(root.optionalObject("retries"), settings.retries);
+    if (root.has("cold_servers"))
+        readColdServers(root.optionalObject("cold_servers"), settings.coldServers);
     readAllotments(root.optionalObject("allotments"), settings.allotments);
     settings.metricsAddress = root.optionalAddress("metrics_address");
     readLog(root.optionalObject("log"), settings.log);
--- a/Libraries/Carawaykeel/Ingress/ServerListSubscriber.cpp
+++ b/Libraries/Carawaykeel/Ingress/ServerListSubscriber.cpp
@@ -97,6 +97,7 @@
     m_retainedServers.erase(key);
     m_reportedLeaving.erase(key);
     m_serverPool.addOrUpdate(*entry);
+    m_serverPool.onEntryReceived(*entry, m_scheduler.now());
     if (entry->isLeaving)
         m_announceLeaving(incarnationName(*entry));
     m_log.info(LogEvent::ServerAnnounced,
@@ -134,6 +135,7 @@
     for (const auto &entry : servers) {
         m_announced[entry.name.text()] = ++m_changeCount;
         m_serverPool.addOrUpdate(entry);
+        m_serverPool.onEntryReceived(entry, m_scheduler.now());
     }
     m_log.info(LogEvent::ServerListDelivered, LogFields().add("servers", servers.size()));
 }
--- a/Libraries/Carawaykeel/Logging/LogEvent.cpp
+++ b/Libraries/Carawaykeel/Logging/LogEvent.cpp
@@ -61,6 +61,12 @@
         return "evacuation_changed";
     case LogEvent::EvacuationUnusable:
         return "evacuation_unusable";
+    case LogEvent::ServerCold:
+        return "server_cold";
+    case LogEvent::ServerWarm:
+        return "server_warm";
+    case LogEvent::ColdPermit:
+        return "cold_permit";
     case LogEvent::BufferReclaimed:
         return "buffer_reclaimed";
     case LogEvent::HandlerFailed:
