Forwarding: Raise a warm server's load in proportion to time

Cause: a fixed additional cost after the cold time delays the first requests to a warm server, but lets the load jump to it as soon as the others carry more than that cost. Also, the list of members was copied ten times a second while no server was cold.

Change: the addition is the mean cost of the servers that carry their full load, plus one request, and falls to zero over the cold time. Members are listed only while a cold server is needed. Rejections and X-Cold-Ms are tested over sockets.

Measured result: beside a server with 60 requests, the warm one holds 0, 12, 30 and 58 of them (within 2) after 0, 20, 50 and 97 in 100 of the period (ColdServersTest).

--- a/Libraries/Carawaykeel/Forwarding/ColdPermits.h
+++ b/Libraries/Carawaykeel/Forwarding/ColdPermits.h
@@ -86,6 +86,12 @@
     {
     }
 
+    /// Returns true while update() would return nothing.
+    bool isIdle(const ServerPool &serverPool, Base::Milliseconds now) const
+    {
+        return m_permits.empty() && serverPool.neededColdServers(now).empty();
+    }
+
     /// Returns the calls to make now. `liveMembers` are the instances that may hold permits, this
     /// one included; nothing is claimed while it is empty. Call periodically.
     std::vector<ColdPermitTask> update(ServerPool &serverPool,
--- a/Libraries/Carawaykeel/Forwarding/ServerPool.cpp
+++ b/Libraries/Carawaykeel/Forwarding/ServerPool.cpp
@@ -180,6 +180,9 @@
     std::uniform_real_distribution<double> tieBreak(0, m_policy.requestCostTokens / 10);
     const auto *preferred = preferredServer(hint);
     const auto ownPart = hint.prompt.last(1);
+    const auto slowStart = slowStartCost(
+        candidates, m_policy.slowStartCostRequests * m_policy.requestCostTokens,
+        [&](const auto &server) { return static_cast<double>(tokensAhead(server, now)); }, now);
     const KnownServer *best = nullptr;
     double lowestCost = 0;
     for (const auto *server : candidates) {
@@ -191,8 +194,7 @@
             + static_cast<double>(uncached.count())
             + static_cast<double>(sharedTokens.count()) * (m_policy.duplicateCacheFactor - 1)
             + (isLocal ? 0 : m_policy.otherDataCentreCostRequests * m_policy.requestCostTokens)
-            + m_coldServers.slowStartShare(server->entry, now) * m_policy.slowStartCostTokens
-            + tieBreak(m_random);
+            + m_coldServers.slowStartShare(server->entry, now) * slowStart + tieBreak(m_random);
         if (!best || cost < lowestCost) {
             best = server;
             lowestCost = cost;
@@ -205,14 +207,16 @@
     std::span<const KnownServer *const> candidates, Base::Milliseconds now)
 {
     std::uniform_real_distribution<double> tieBreak(0, 0.1);
+    const auto slowStart = slowStartCost(
+        candidates, m_policy.slowStartCostRequests,
+        [&](const auto &server) { return loadOf(server, now); }, now);
     const KnownServer *best = nullptr;
     double bestLoad = 0;
     for (const auto *server : candidates) {
         const bool isLocal = server->entry.dataCentre == m_ownDataCentre;
         const auto load = loadOf(*server, now)
             + (isLocal ? 0 : m_policy.otherDataCentreCostRequests)
-            + m_coldServers.slowStartShare(server->entry, now) * m_policy.slowStartCostRequests
-            + tieBreak(m_random);
+            + m_coldServers.slowStartShare(server->entry, now) * slowStart + tieBreak(m_random);
         if (!best || load < bestLoad) {
             best = server;
             bestLoad = load;
--- a/Libraries/Carawaykeel/Forwarding/ServerPool.h
+++ b/Libraries/Carawaykeel/Forwarding/ServerPool.h
@@ -7,6 +7,7 @@
 #include <Carawaykeel/Forwarding/ServerBacklog.h>
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -43,11 +44,9 @@
     double failureWeight = 0.2;
     /// Cost of a server that fails every request, in requests.
     double failureCostRequests = 12;
-    /// Cost of a server that has just become warm, in requests and in prompt tokens. It falls to
-    /// zero over a period as long as the cold time. As high as the cost of a server that fails
-    /// every request, so that the first requests go to the others.
-    double slowStartCostRequests = 12;
-    double slowStartCostTokens = 30'000;
+    /// Cost of a server that has just become warm, in requests, besides the mean cost of the
+    /// others. Both fall to zero over a period as long as the cold time.
+    double slowStartCostRequests = 1;
 };
 
 /// A cold server whose service has no eligible server that is warm.
@@ -180,6 +179,11 @@
     /// Returns true if an eligible server is warm, or is cold and may get a request of this
     /// instance now.
     bool isOpen(const KnownServer &server, bool hasOnlyColdServers, Base::Milliseconds now) const;
+    /// Returns what a server that has just become warm costs more than its load: the mean cost of
+    /// the candidates that carry their full load, so that its share of the requests rises with
+    /// time whatever the load is, and `minCost`.
+    double slowStartCost(std::span<const KnownServer *const> candidates, double minCost,
+        const std::function<double(const KnownServer &)> &costOf, Base::Milliseconds now) const;
     double estimatedRequestsAt(const KnownServer &server, Base::Milliseconds now) const;
     double loadOf(const KnownServer &server, Base::Milliseconds now) const;
     const KnownServer *preferredServer(const ServerSelectionHint &hint) const;
--- a/Libraries/Carawaykeel/Forwarding/ServerPoolColdness.cpp
+++ b/Libraries/Carawaykeel/Forwarding/ServerPoolColdness.cpp
@@ -51,6 +51,22 @@
         || (hasOnlyColdServers && m_coldServers.hasRoom(server.entry, now));
 }
 
+double ServerPool::slowStartCost(std::span<const KnownServer *const> candidates, double minCost,
+    const std::function<double(const KnownServer &)> &costOf, Base::Milliseconds now) const
+{
+    const auto isStarting = [&](const KnownServer *server) {
+        return m_coldServers.slowStartShare(server->entry, now) > 0;
+    };
+    const auto starting = std::ranges::count_if(candidates, isStarting);
+    const auto others = static_cast<std::ptrdiff_t>(candidates.size()) - starting;
+    if (starting == 0 || others == 0)
+        return 0;
+    double sum = 0;
+    for (const auto *server : candidates)
+        sum += isStarting(server) ? 0 : costOf(*server);
+    return sum / static_cast<double>(others) + minCost;
+}
+
 std::vector<NeededColdServer> ServerPool::neededColdServers(Base::Milliseconds now) const
 {
     std::map<Base::ServiceName, bool> onlyCold;
--- a/Libraries/Carawaykeel/Ingress/ColdPermitStore.cpp
+++ b/Libraries/Carawaykeel/Ingress/ColdPermitStore.cpp
@@ -46,8 +46,12 @@
 void ColdPermitStore::poll()
 {
     logTransitions();
-    for (const auto &task : m_permits.update(m_serverPool, m_liveMembers(), m_scheduler.now()))
-        run(task);
+    const auto now = m_scheduler.now();
+    // The list of members is long in a large fleet, and mostly no server is cold.
+    if (!m_permits.isIdle(m_serverPool, now)) {
+        for (const auto &task : m_permits.update(m_serverPool, m_liveMembers(), now))
+            run(task);
+    }
     m_scheduler.schedule(PollInterval, [this] { poll(); });
 }
 
--- a/Tests/Forwarding/ColdServersTest.cpp
+++ b/Tests/Forwarding/ColdServersTest.cpp
@@ -193,15 +193,22 @@
     {
         receive(makeEntry(1, 3'000));
         receive(makeEntry(2));
-        for (int n = 0; n < 6; ++n)
+        constexpr int Loaded = 60;
+        for (int n = 0; n < Loaded; ++n)
             pool.onRequestSent(makeEntry(2).name, {}, Now);
-        CPPUNIT_ASSERT(select(after(3'100))->entry.name == makeEntry(2).name);
-        CPPUNIT_ASSERT(select(after(5'000))->entry.name == makeEntry(1).name);
         const std::vector<Forwarding::PromptPart> prompt{{1, Base::Tokens(500)}};
-        CPPUNIT_ASSERT(pool.selectServer({Service, prompt, {}}, after(3'100))->entry.name
-            == makeEntry(2).name);
-        CPPUNIT_ASSERT(pool.selectServer({Service, prompt, {}}, after(6'000))->entry.name
-            == makeEntry(1).name);
+        int sent = 0;
+        for (const auto elapsed : {3'000, 3'600, 4'500, 5'900}) {
+            const auto now = after(elapsed);
+            while (select(now)->entry.name == makeEntry(1).name) {
+                CPPUNIT_ASSERT(
+                    pool.selectServer({Service, prompt, {}}, now)->entry.name == makeEntry(1).name);
+                pool.onRequestSent(makeEntry(1).name, {}, now);
+                ++sent;
+            }
+            const auto expected = static_cast<double>((elapsed - 3'000) * Loaded) / 3'000;
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(expected, sent, 2);
+        }
     }
 
     void transitionsAreReportedOnce()
--- a/Tests/Ingress/ServerRestrictionTest.cpp
+++ b/Tests/Ingress/ServerRestrictionTest.cpp
@@ -58,6 +58,8 @@
     CPPUNIT_TEST(serverThatSaysItLeavesGetsNoRequest);
     CPPUNIT_TEST(serverThatPausesGetsNoRequestUntilItsEnd);
     CPPUNIT_TEST(callersComeBackWhenAllServersPause);
+    CPPUNIT_TEST(callersComeBackWhenAllServersAreCold);
+    CPPUNIT_TEST(serverThatSaysItIsColdGetsNoFurtherRequest);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -107,6 +109,34 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), pausing.requests().size());
     }
+
+    /// A request that waited for room would hold its caller for the whole cold time.
+    void callersComeBackWhenAllServersAreCold()
+    {
+        ScriptedServer cold(respondNormally);
+        RouterHarness router(makeRoute(), {cold.address()});
+        router.makeCold(Base::Milliseconds(4'000));
+        const auto response = router.call(RouterHarness::makeRequest("id"));
+        CPPUNIT_ASSERT_EQUAL(503, response.status);
+        const auto at = response.head.find("Retry-After: ");
+        CPPUNIT_ASSERT(at != std::string::npos);
+        const auto seconds =
+            std::stod(response.head.substr(at + std::string("Retry-After: ").size()));
+        CPPUNIT_ASSERT(seconds > 3 && seconds <= 6);
+        CPPUNIT_ASSERT(cold.requests().empty());
+    }
+
+    /// The router knows before the server's next entry that it became cold.
+    void serverThatSaysItIsColdGetsNoFurtherRequest()
+    {
+        ScriptedServer cold(respondWith(200, "X-Cold-Ms: 20000\r\n"));
+        ScriptedServer warm(respondNormally);
+        RouterHarness router(makeRoute(), {cold.address(), warm.address()});
+        router.makeCold(Base::Milliseconds());
+        sendRequests(router, 5);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), cold.requests().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), warm.requests().size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerRestrictionTest);
--- a/Tests/Support/RouterHarness.cpp
+++ b/Tests/Support/RouterHarness.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Timespan.h>
 #include <array>
 #include <fmt/core.h>
+#include <future>
 
 namespace Carawaykeel::Tests {
 
@@ -65,6 +66,25 @@
     m_thread = std::thread([this] { m_reactor.run(); });
 }
 
+void RouterHarness::makeCold(Base::Milliseconds coldTime)
+{
+    Forwarding::ServiceDefinition service;
+    service.name = Base::ServiceName("service");
+    service.coldRequestsPerSecond = 10;
+    const auto configuration = std::make_shared<const Forwarding::RouterConfiguration>(1,
+        std::vector<Forwarding::Route>{}, std::vector<Forwarding::Team>{},
+        std::vector<Forwarding::ServiceDefinition>{service}, Forwarding::CallerLimits());
+    std::promise<void> done;
+    m_reactor.schedule(Base::Milliseconds(), [&] {
+        m_serverPool.coldServers().setPolicy(Forwarding::ColdServerPolicy());
+        m_serverPool.coldServers().setConfiguration(configuration);
+        if (coldTime > Base::Milliseconds())
+            m_serverPool.onColdTimeStated(Base::ServerName("server-0"), coldTime, m_reactor.now());
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
 RouterHarness::~RouterHarness()
 {
     m_reactor.stop();
--- a/Tests/Support/RouterHarness.h
+++ b/Tests/Support/RouterHarness.h
@@ -36,6 +36,9 @@
     RouterHarness(Forwarding::Route route, const std::vector<std::string> &serverAddresses);
     ~RouterHarness();
 
+    /// Sets a limit for cold servers, and makes the first server cold if the time is not zero.
+    void makeCold(Base::Milliseconds coldTime);
+
     /// Sends bytes on a new connection and returns the first response.
     CallerResponse call(const std::string &bytes);
 
