Platform: Read load reports with four figures

Some services add a fourth figure to X-Server-Load: how long work takes on the server's machine at this moment. Such a report was dropped as a whole, so that nothing was known of the load of these servers. It is now kept in ReportedLoad::workTimePercent. Reports with three figures are read as before; a report with another number of figures or a malformed fourth one is dropped.

--- a/Libraries/Carawaykeel/Forwarding/ResponseMetadata.h
+++ b/Libraries/Carawaykeel/Forwarding/ResponseMetadata.h
@@ -13,6 +13,10 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    /// How long work takes on the server's machine at this moment, in percent of the usual time; at
+    /// least 1, and 250 means two and a half times as long. Empty when the service does not report
+    /// it. The figure changes many times a second and is stale when it arrives.
+    std::optional<int> workTimePercent = {};
 };
 
 /// Metadata that a server's response carries in its header fields.
--- a/Tests/Platform/DialectTest.cpp
+++ b/Tests/Platform/DialectTest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(tokenCountsThatOverflowAreRejected);
     CPPUNIT_TEST(promptPartsThatOverflowEndTheList);
     CPPUNIT_TEST(longIdleTimeoutIsBounded);
+    CPPUNIT_TEST(loadReportsHaveThreeOrFourFigures);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -59,6 +60,25 @@
         const auto metadata = CarawaykeelPlatform::PlatformDialect().readResponse(head);
         CPPUNIT_ASSERT(metadata.idleTimeout > Base::Milliseconds());
     }
+
+    /// Guards against dropping the whole report of a server that adds its work time.
+    void loadReportsHaveThreeOrFourFigures()
+    {
+        const auto read = [](const std::string &text) {
+            Poco::Net::HTTPResponse head;
+            head.set("X-Server-Load", text);
+            return CarawaykeelPlatform::PlatformDialect().readResponse(head).reportedLoad;
+        };
+        const auto usual = read("3, 2, 16");
+        CPPUNIT_ASSERT(usual && usual->running == 3 && usual->waiting == 2 && usual->slots == 16);
+        CPPUNIT_ASSERT(!usual->workTimePercent);
+        const auto slow = read("3,2,16,250");
+        CPPUNIT_ASSERT(slow && slow->running == 3 && slow->waiting == 2 && slow->slots == 16);
+        CPPUNIT_ASSERT_EQUAL(250, slow->workTimePercent.value());
+        for (const auto *text : {"", "3,2", "3,2,16,,", "3,2,16,x", "3,2,16,0", "3,2,16,-5",
+                 "3,2,16,99999999999", "3,2,16,100,5"})
+            CPPUNIT_ASSERT_MESSAGE(text, !read(text));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DialectTest);
