Entries: Send callers elsewhere where their data centre has no room

Entry answers named only VMs of the caller's own data centre. With 60 in 100 of the demand in one of four, its callers were served half of what the others were. The new module Entries plans by the load and capacity of the whole fleet: DemandEstimate finds each data centre's demand behind the loads, EntryPlanner fills the own VMs, then large VMs elsewhere, then small ones. Where the own VMs have room, answers are those of selectEntryAddresses(), which moves here from Ingress. Otherwise each answer draws up to eight VMs at random. Membership::loadOf() tells an unknown load from an idle instance, so that a large fleet, where few members are heard of within 5 s, is not taken for idle.

--- a/Libraries/Carawaykeel/Ingress/EntrySelection.cpp
+++ b/Libraries/Carawaykeel/Entries/EntrySelection.cpp
@@ -1,9 +1,9 @@
-#include <Carawaykeel/Ingress/EntrySelection.h>
+#include <Carawaykeel/Entries/EntrySelection.h>
 
 #include <algorithm>
 #include <tuple>
 
-namespace Carawaykeel::Ingress {
+namespace Carawaykeel::Entries {
 
 namespace {
 
@@ -31,7 +31,7 @@
     std::vector<std::string> addresses;
     double capacity = 0;
     for (const auto &candidate : candidates) {
-        const bool isLarge = candidate.capacity >= LargeVmRatio * candidates.front().capacity;
+        const bool isLarge = isLargeVm(candidate.capacity, candidates.front().capacity);
         const bool isNeeded =
             addresses.size() < MinAddresses || capacity * TargetUtilisation < load;
         if (addresses.size() >= MaxEntryAddresses || (!isLarge && !isNeeded))
@@ -42,10 +42,15 @@
     return addresses;
 }
 
+bool isLargeVm(std::uint32_t capacity, std::uint32_t largestCapacity)
+{
+    return capacity >= LargeVmRatio * largestCapacity;
+}
+
 std::uint32_t estimateCapacity(double coreShare, double linkMbps)
 {
     return static_cast<std::uint32_t>(
         std::min(coreShare * RequestsPerCoreSecond, linkMbps / MegabitsPerRequest));
 }
 
-} // namespace Carawaykeel::Ingress
+} // namespace Carawaykeel::Entries
--- a/Libraries/Carawaykeel/Ingress/EntrySelection.h
+++ b/Libraries/Carawaykeel/Entries/EntrySelection.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <Carawaykeel/Base/Identifier.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
 
-namespace Carawaykeel::Ingress {
+namespace Carawaykeel::Entries {
 
 /// An instance that callers may connect to.
 struct EntryCandidate
@@ -16,6 +18,9 @@
     std::uint32_t capacity = 0;
     /// Requests per second that it receives now.
     std::uint32_t load = 0;
+    Base::DataCentre dataCentre = {};
+    /// False when the load was not reported lately, so that it counts as 0.
+    bool isLoadKnown = true;
 };
 
 /// Maximum number of addresses that callers use of one response.
@@ -27,8 +32,11 @@
 /// of the teams' tokens and its own connections to the servers.
 std::vector<std::string> selectEntryAddresses(std::vector<EntryCandidate> candidates);
 
+/// Returns true for a VM that counts as large beside the largest one.
+bool isLargeVm(std::uint32_t capacity, std::uint32_t largestCapacity);
+
 /// Returns the requests per second that a VM can carry. `coreShare` is its share of one core,
 /// `linkMbps` the bandwidth of its link in Mbit/s.
 std::uint32_t estimateCapacity(double coreShare, double linkMbps);
 
-} // namespace Carawaykeel::Ingress
+} // namespace Carawaykeel::Entries
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -108,6 +108,7 @@
     , m_configurationRelay(reactor, m_peerTransport)
     , m_gossipTransport(m_settings.gossipAddress, m_codec, reactor,
           [this](const Membership::GossipMessage &message) { m_membership->onMessage(message); })
+    , m_entryPlanner({}, m_random)
     , m_forwardHandler(m_context)
     , m_entryHandler(
           m_dependencies.dialect,
@@ -220,37 +221,6 @@
     return m_context.configuration ? m_context.configuration->limits() : Forwarding::CallerLimits();
 }
 
-EntryResponse Router::entryResponseFor(const Forwarding::EntryQuery &query) const
-{
-    std::vector<EntryCandidate> localCandidates;
-    std::vector<EntryCandidate> allCandidates;
-    // Before joining, only a few instances are known. Callers of many data centres would all be
-    // sent to them.
-    if (!m_membership->hasJoined())
-        return {};
-    for (const auto &member : m_membership->servingMembers()) {
-        const EntryCandidate candidate{
-            member.callerAddress, member.capacity, m_membership->loadOf(member.id.name)};
-        allCandidates.push_back(candidate);
-        if (member.dataCentre == query.dataCentre)
-            localCandidates.push_back(candidate);
-    }
-    // With a single address, callers would have no other instance to use when that one fails.
-    constexpr std::size_t MinLocalAddresses = 2;
-    const auto serving = allCandidates.size();
-    const bool isLocal = localCandidates.size() >= MinLocalAddresses;
-    const EntryResponse response{
-        selectEntryAddresses(std::move(isLocal ? localCandidates : allCandidates)),
-        m_settings.entryCacheTime};
-    m_log.routineInfo(LogEvent::EntryAnswered,
-        LogFields()
-            .add("data_centre", query.dataCentre.text())
-            .add("addresses", response.addresses.size())
-            .add("serving", serving)
-            .add("known", m_membership->knownInstances()));
-    return response;
-}
-
 void Router::measureLoad()
 {
     const auto now = m_reactor.now();
@@ -280,6 +250,7 @@
         m_membership->knownInstances() > Membership::MembershipPolicy().maxBacklogReceivers;
     m_backlogBroadcaster.setMinInterval(
         isLargeFleet ? BacklogBroadcaster::LargeFleetInterval : Base::Milliseconds());
+    updateEntryPlan();
     requestServerList();
     m_reactor.schedule(MaintenanceInterval, [this] { runMaintenance(); });
 }
--- a/Libraries/Carawaykeel/Ingress/Router.h
+++ b/Libraries/Carawaykeel/Ingress/Router.h
@@ -2,13 +2,13 @@
 
 #include <Carawaykeel/Budget/AllotmentHolder.h>
 #include <Carawaykeel/Configuration/ConfigurationRelay.h>
+#include <Carawaykeel/Entries/EntryPlanner.h>
 #include <Carawaykeel/Ingress/AllotmentLogger.h>
 #include <Carawaykeel/Ingress/BufferAccount.h>
 #include <Carawaykeel/Ingress/CallerListener.h>
 #include <Carawaykeel/Ingress/ColdPermitStore.h>
 #include <Carawaykeel/Ingress/ConfigurationSubscriber.h>
 #include <Carawaykeel/Ingress/EntryHandler.h>
-#include <Carawaykeel/Ingress/EntrySelection.h>
 #include <Carawaykeel/Ingress/EvacuationSubscriber.h>
 #include <Carawaykeel/Ingress/ExchangeContext.h>
 #include <Carawaykeel/Ingress/ForwardHandler.h>
@@ -72,7 +72,9 @@
 private:
     static Membership::Member makeOwnMember(const RouterSettings &settings);
     void onConfiguration(const ConfigurationSubscriber::Pointer &configuration);
-    EntryResponse entryResponseFor(const Forwarding::EntryQuery &query) const;
+    std::vector<Entries::EntryCandidate> entryCandidates() const;
+    EntryResponse entryResponseFor(const Forwarding::EntryQuery &query);
+    void updateEntryPlan();
     Forwarding::CallerLimits limits() const;
     std::string peerAddressOf(const Base::InstanceName &name) const;
     void onPeerMessage(const Peer::PeerEnvelope &envelope);
@@ -121,6 +123,7 @@
     Configuration::ConfigurationRelay m_configurationRelay;
     std::unique_ptr<Membership::Membership> m_membership;
     Transport::UdpGossipTransport m_gossipTransport;
+    Entries::EntryPlanner m_entryPlanner;
     ForwardHandler m_forwardHandler;
     EntryHandler m_entryHandler;
     CallerListener m_callerListener;
--- a/Libraries/Carawaykeel/Ingress/RouterSettingsParser.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterSettingsParser.cpp
@@ -1,6 +1,6 @@
 #include <Carawaykeel/Ingress/RouterSettingsParser.h>
 
-#include <Carawaykeel/Ingress/EntrySelection.h>
+#include <Carawaykeel/Entries/EntrySelection.h>
 
 #include <Carawaykeel/Configuration/JsonObjectReader.h>
 
@@ -46,7 +46,7 @@
     constexpr double MaxLinkMbps = 1'000'000;
     const auto coreShare = reader.optionalNumber("core_share", 0, 0, MaxCores);
     const auto linkMbps = reader.optionalNumber("link_mbps", 0, 0, MaxLinkMbps);
-    settings.capacity = estimateCapacity(coreShare, linkMbps);
+    settings.capacity = Entries::estimateCapacity(coreShare, linkMbps);
     constexpr std::int64_t MinMemoryMegabytes = 16;
     constexpr std::int64_t MaxMemoryMegabytes = 1'048'576;
     constexpr double BytesPerMegabyte = 1'024 * 1'024;
--- a/Libraries/Carawaykeel/Membership/Membership.cpp
+++ b/Libraries/Carawaykeel/Membership/Membership.cpp
@@ -272,14 +272,14 @@
     m_configurationVersion = version;
 }
 
-std::uint32_t Membership::loadOf(const Base::InstanceName &name) const
+std::optional<std::uint32_t> Membership::loadOf(const Base::InstanceName &name) const
 {
     if (name == m_self.id.name)
         return m_load;
     const auto it = m_loads.find(name);
     const bool isKnown =
         it != m_loads.end() && m_scheduler.now() - it->second.receivedAt < LoadLifetime;
-    return isKnown ? it->second.load : 0;
+    return isKnown ? std::optional(it->second.load) : std::nullopt;
 }
 
 void Membership::markVmGone(const std::string &vm)
--- a/Libraries/Carawaykeel/Membership/Membership.h
+++ b/Libraries/Carawaykeel/Membership/Membership.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -79,11 +80,11 @@
     void sendEvacuations(
         std::span<const Forwarding::Evacuation> evacuations, const Base::InstanceName &to);
 
-    /// Sets the configuration version that datagrams carry.
     /// Sets the requests per second of this instance, which each datagram reports.
     void setLoad(std::uint32_t load) { m_load = load; }
-    /// Returns the last reported requests per second of an instance; 0 if it is idle or unknown.
-    std::uint32_t loadOf(const Base::InstanceName &name) const;
+    /// Returns the requests per second that an instance reported lately; empty when it did not.
+    std::optional<std::uint32_t> loadOf(const Base::InstanceName &name) const;
+    /// Sets the configuration version that datagrams carry.
     void setConfigurationVersion(std::uint64_t version);
 
     /// Records that a VM is gone, as reported by the platform or an operator. The incarnations that
--- a/Tests/Ingress/EntrySelectionTest.cpp
+++ b/Tests/Entries/EntrySelectionTest.cpp
@@ -1,4 +1,4 @@
-#include <Carawaykeel/Ingress/EntrySelection.h>
+#include <Carawaykeel/Entries/EntrySelection.h>
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
@@ -10,7 +10,7 @@
 
 namespace {
 
-using Ingress::EntryCandidate;
+using Entries::EntryCandidate;
 
 constexpr std::uint32_t LargeCapacity = 200;
 constexpr std::uint32_t SmallCapacity = 48;
@@ -39,7 +39,7 @@
         for (const auto &vm : vms)
             addresses.push_back(vm.address);
         if (selects)
-            addresses = Ingress::selectEntryAddresses(vms);
+            addresses = Entries::selectEntryAddresses(vms);
         std::vector<double> loads(vms.size());
         for (const double requests : callers) {
             const auto &address = addresses.at(random() % addresses.size());
@@ -77,13 +77,13 @@
             std::vector<EntryCandidate> vms;
             for (int n = 0; n < 8; ++n)
                 vms.push_back({fmt::format("vm-{}", n), capacity, 0});
-            CPPUNIT_ASSERT_EQUAL(std::size_t(8), Ingress::selectEntryAddresses(vms).size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(8), Entries::selectEntryAddresses(vms).size());
         }
     }
 
     void largeVmsCarryWhatTheyCan()
     {
-        const auto addresses = Ingress::selectEntryAddresses(makeVms(3, 49));
+        const auto addresses = Entries::selectEntryAddresses(makeVms(3, 49));
         CPPUNIT_ASSERT((addresses == std::vector<std::string>{"large-0", "large-1", "large-2"}));
     }
 
@@ -93,7 +93,7 @@
         for (const std::uint32_t load : {0, 300, 400, 600, 900, 5'000}) {
             auto vms = makeVms(3, 49);
             vms.back().load = load;
-            const auto addresses = Ingress::selectEntryAddresses(vms);
+            const auto addresses = Entries::selectEntryAddresses(vms);
             const auto capacity = 3 * LargeCapacity + (addresses.size() - 3) * SmallCapacity;
             CPPUNIT_ASSERT(addresses.size() >= last);
             CPPUNIT_ASSERT(addresses.size() == 52 || capacity * 0.6 >= load);
@@ -104,15 +104,15 @@
 
     void aSecondAddressIsAlwaysGiven()
     {
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), Ingress::selectEntryAddresses(makeVms(1, 30)).size());
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), Ingress::selectEntryAddresses(makeVms(1, 0)).size());
-        CPPUNIT_ASSERT(Ingress::selectEntryAddresses({}).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), Entries::selectEntryAddresses(makeVms(1, 30)).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), Entries::selectEntryAddresses(makeVms(1, 0)).size());
+        CPPUNIT_ASSERT(Entries::selectEntryAddresses({}).empty());
     }
 
     void responsesAreBounded()
     {
         CPPUNIT_ASSERT_EQUAL(
-            Ingress::MaxEntryAddresses, Ingress::selectEntryAddresses(makeVms(0, 90)).size());
+            Entries::MaxEntryAddresses, Entries::selectEntryAddresses(makeVms(0, 90)).size());
     }
 
     /// Pattern: one team's callers send half of a data centre's requests over one address.
@@ -130,9 +130,9 @@
 
     void capacityIsTheNarrowestResource()
     {
-        CPPUNIT_ASSERT_EQUAL(std::uint32_t(200), Ingress::estimateCapacity(0.5, 200));
-        CPPUNIT_ASSERT_EQUAL(std::uint32_t(25), Ingress::estimateCapacity(0.12, 10));
-        CPPUNIT_ASSERT_EQUAL(std::uint32_t(48), Ingress::estimateCapacity(0.12, 20));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(200), Entries::estimateCapacity(0.5, 200));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(25), Entries::estimateCapacity(0.12, 10));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(48), Entries::estimateCapacity(0.12, 20));
     }
 };
 
