Forwarding: Select servers by their expected completion time

Servers share machines with others, and their speed differs by a factor of up to 2.7 and changes many times a second. Requests were counted, whatever the server's speed. Where a service's responses carry the fourth figure of the load report, CompletionTime now estimates when each server would have completed the request: for prompts the work ahead, the uncached tokens and the tokens to come (X-Length-Hint where present), otherwise the work ahead and the request's own. LearnedSpeed learns each server's times from its own responses; a new incarnation starts from the middle of its service, and the reported work time is a prior that fades within 300 ms. Requests without a prompt go to the best of three servers drawn at random, prompts to the best with some noise, so that instances with the same late report spread. Services without the fourth figure are selected as before, with the same random draws.

--- a/Libraries/Carawaykeel/Entries/DemandEstimate.cpp
+++ b/Libraries/Carawaykeel/Entries/DemandEstimate.cpp
@@ -22,6 +22,17 @@
             -static_cast<double>(elapsed.count()) / static_cast<double>(timeConstant.count()));
 }
 
+/// Returns the share of the callers of `from` that are sent to `to`.
+double shareOf(const std::map<Base::DataCentre, DataCentreFigures> &shares,
+    const Base::DataCentre &from, const Base::DataCentre &to)
+{
+    const auto row = shares.find(from);
+    if (row == shares.end())
+        return from == to ? 1 : 0;
+    const auto it = row->second.find(to);
+    return it == row->second.end() ? 0 : it->second;
+}
+
 } // namespace
 
 void DemandEstimate::setShares(std::map<Base::DataCentre, DataCentreFigures> shares)
@@ -33,19 +44,11 @@
 {
     std::map<Base::DataCentre, DataCentreFigures> updated;
     for (const auto &[from, unused] : loads) {
-        const auto target = m_shares.find(from);
-        const auto current = m_effectiveShares.find(from);
         auto &row = updated[from];
         double sum = 0;
         for (const auto &[to, unusedLoad] : loads) {
-            const auto shareOf = [&](const auto &rows, const auto &it) {
-                if (it == rows.end())
-                    return from == to ? 1.0 : 0.0;
-                const auto share = it->second.find(to);
-                return share == it->second.end() ? 0.0 : share->second;
-            };
-            const auto before = shareOf(m_effectiveShares, current);
-            row[to] = before + weight * (shareOf(m_shares, target) - before);
+            const auto before = shareOf(m_effectiveShares, from, to);
+            row[to] = before + weight * (shareOf(m_shares, from, to) - before);
             sum += row[to];
         }
         // Callers that were sent to a data centre without VMs by now go on elsewhere.
--- a/Libraries/Carawaykeel/Forwarding/KnownServer.h
+++ b/Libraries/Carawaykeel/Forwarding/KnownServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Carawaykeel/Forwarding/LearnedSpeed.h>
 #include <Carawaykeel/Forwarding/PromptCacheEstimate.h>
 #include <Carawaykeel/Forwarding/ResponseMetadata.h>
 #include <Carawaykeel/Forwarding/ServerEntry.h>
@@ -32,6 +33,7 @@
     Base::Tokens unprocessedTokens;
     std::map<Base::InstanceName, PeerBacklog> peerBacklogs;
     PromptCacheEstimate promptCache;
+    LearnedSpeed speed;
     /// Exponential moving average of the share of failed attempts, from 0 to 1.
     double failureRate = 0;
     int consecutiveFailures = 0;
--- a/Libraries/Carawaykeel/Forwarding/RequestMetadata.h
+++ b/Libraries/Carawaykeel/Forwarding/RequestMetadata.h
@@ -30,6 +30,8 @@
     Base::Tokens promptTokens;
     /// Maximum number of tokens in the response.
     Base::Tokens maxResponseTokens;
+    /// The caller's estimate of the tokens in the response; empty when it has none.
+    std::optional<Base::Tokens> expectedResponseTokens;
     /// In the order of the prompt; the last part belongs to this request only.
     std::vector<PromptPart> promptParts;
     /// The last event that the caller received; empty when the stream is not resumed.
--- a/Libraries/Carawaykeel/Forwarding/ServerPool.cpp
+++ b/Libraries/Carawaykeel/Forwarding/ServerPool.cpp
@@ -25,6 +25,7 @@
     : m_ownDataCentre(std::move(ownDataCentre))
     , m_policy(policy)
     , m_random(random)
+    , m_completionTime(random)
 {
 }
 
@@ -133,6 +134,8 @@
     if (eligible.empty())
         return nullptr;
     const auto &candidates = notAvoided.empty() ? eligible : notAvoided;
+    if (m_unevenServices.contains(hint.service))
+        return selectByExpectedTime(candidates, hint, now);
     return hint.prompt.empty() ? selectLeastLoaded(candidates, now)
                                : selectByPrompt(candidates, hint, now);
 }
@@ -341,6 +344,10 @@
     it->second.reportedLoad = load;
     it->second.reportedAt = now;
     it->second.sentSinceReport = 0;
+    if (load.workTimePercent) {
+        it->second.speed.onWorkTime(*load.workTimePercent, now);
+        m_unevenServices.insert(it->second.entry.service);
+    }
 }
 
 bool ServerPool::isUsable(const Base::ServerName &name) const
--- a/Libraries/Carawaykeel/Forwarding/ServerPool.h
+++ b/Libraries/Carawaykeel/Forwarding/ServerPool.h
@@ -2,6 +2,7 @@
 
 #include <Carawaykeel/Base/ExponentialBackoff.h>
 #include <Carawaykeel/Forwarding/ColdServers.h>
+#include <Carawaykeel/Forwarding/CompletionTime.h>
 #include <Carawaykeel/Forwarding/KnownServer.h>
 #include <Carawaykeel/Forwarding/RequestMetadata.h>
 #include <Carawaykeel/Forwarding/ServerBacklog.h>
@@ -65,6 +66,8 @@
     std::span<const PromptPart> prompt;
     /// Servers that the request was already sent to.
     std::set<Base::ServerName> triedServers;
+    /// Tokens to be expected in the response; empty when unknown.
+    std::optional<Base::Tokens> responseTokens = {};
 };
 
 /// The announced servers and the selection among them.
@@ -111,6 +114,14 @@
     /// until a server is added, updated or removed.
     const KnownServer *selectServer(const ServerSelectionHint &hint, Base::Milliseconds now);
 
+    /// Returns the milliseconds until the server would complete the request; empty for services
+    /// whose servers do not report their work time.
+    std::optional<double> expectedTime(
+        const KnownServer &server, const ServerSelectionHint &hint, Base::Milliseconds now) const;
+
+    /// Returns the estimated number of requests at the server, this instance's and others'.
+    double estimatedRequestsAt(const KnownServer &server, Base::Milliseconds now) const;
+
     /// Returns the estimated prompt tokens that a server processes before those of a new request.
     /// Its other work is included as an equivalent number of tokens.
     std::int64_t tokensAhead(const KnownServer &server, Base::Milliseconds now) const;
@@ -157,6 +168,8 @@
     /// servers are cold.
     std::optional<Base::Milliseconds> timeUntilWarm(
         const Base::ServiceName &service, Base::Milliseconds now) const;
+    /// Records a request that the server has served, from which its speed is learned.
+    void onServed(const Base::ServerName &name, const ServedAttempt &attempt);
 
     /// Returns true while the server is announced and not leaving.
     bool isUsable(const Base::ServerName &name) const;
@@ -184,18 +197,24 @@
     /// time whatever the load is, and `minCost`.
     double slowStartCost(std::span<const KnownServer *const> candidates, double minCost,
         const std::function<double(const KnownServer &)> &costOf, Base::Milliseconds now) const;
-    double estimatedRequestsAt(const KnownServer &server, Base::Milliseconds now) const;
     double loadOf(const KnownServer &server, Base::Milliseconds now) const;
     const KnownServer *preferredServer(const ServerSelectionHint &hint) const;
     const KnownServer *selectByPrompt(std::span<const KnownServer *const> candidates,
         const ServerSelectionHint &hint, Base::Milliseconds now);
+    ServerWork workAt(const KnownServer &server, const ServerSelectionHint &hint,
+        const KnownServer *preferred, Base::Milliseconds now) const;
+    const KnownServer *selectByExpectedTime(std::span<const KnownServer *const> candidates,
+        const ServerSelectionHint &hint, Base::Milliseconds now);
     const KnownServer *selectLeastLoaded(
         std::span<const KnownServer *const> candidates, Base::Milliseconds now);
 
     const Base::DataCentre m_ownDataCentre;
     const ServerSelectionPolicy m_policy;
     Base::RandomEngine &m_random;
+    CompletionTime m_completionTime;
     std::map<Base::ServerName, KnownServer> m_servers;
+    /// Services whose servers report their work time.
+    std::set<Base::ServiceName> m_unevenServices;
     /// The latest incarnations that said in a response that they leave, the newest last. Kept apart
     /// from the servers, since an entry can expire and come back.
     std::deque<ServerIncarnation> m_leavingIncarnations;
--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -90,8 +90,8 @@
     }
     while (!m_isFinished) {
         const auto now = m_context.reactor.now();
-        const auto *server = m_context.serverPool.selectServer(
-            {m_service, m_requestMetadata.promptParts, m_triedServers}, now);
+        const auto hint = selectionHint();
+        const auto *server = m_context.serverPool.selectServer(hint, now);
         if (!server) {
             return fail(noServerFailure(
                 m_mayHaveRun ? Base::ErrorKind::ServerFailed : Base::ErrorKind::NoServerAvailable,
@@ -115,6 +115,7 @@
         m_lastActivityAt = now;
         m_tokensAhead = m_context.serverPool.tokensAhead(*server, now);
         m_loadReportAge = now - server->reportedAt;
+        beginMeasurement(*server, hint);
         m_unprocessedTokens =
             m_context.serverPool.onRequestSent(m_server, m_requestMetadata.promptParts, now);
         m_context.backlogBroadcaster.onBacklogChanged(m_server);
@@ -194,6 +195,7 @@
 {
     const auto self = shared_from_this();
     m_lastActivityAt = m_context.reactor.now();
+    m_attempt.firstPartAt = m_attempt.firstPartAt.value_or(m_lastActivityAt);
     if (m_unprocessedTokens > Base::Tokens()) {
         markPromptProcessed();
         // The prompt is processed, so the timeout no longer includes its processing time.
@@ -229,8 +231,10 @@
     m_progress.onEvents(elapsed());
     beginStream();
     m_responseWriter->sendStream(completeEvents);
-    if (m_responseWriter && m_responseWriter->isCongested())
+    if (m_responseWriter && m_responseWriter->isCongested()) {
+        m_attempt.wasThrottled = true;
         m_connection->setReading(false);
+    }
 }
 
 void Exchange::beginStream()
@@ -264,6 +268,7 @@
     if (isStream() && isBrokenOff())
         return onResponseFailed(Forwarding::AttemptOutcome::ConnectionLost);
     markResponded();
+    reportMeasurement();
     endAttempt(false);
     if (!isStream())
         return forwardResponse();
--- a/Libraries/Carawaykeel/Ingress/Exchange.h
+++ b/Libraries/Carawaykeel/Ingress/Exchange.h
@@ -62,7 +62,30 @@
         bool isChunked = false;
     };
 
+    /// What was expected and measured of the current attempt.
+    struct Attempt
+    {
+        Base::Milliseconds sentAt;
+        /// When the first part of the response came; empty before that.
+        std::optional<Base::Milliseconds> firstPartAt;
+        /// Estimated number of requests at the server when this one was sent.
+        double requestsAhead = 0;
+        /// Estimated prompt tokens that the server processes until the first part.
+        double promptTokens = 0;
+        /// Events of earlier attempts.
+        std::uint64_t earlierEvents = 0;
+        /// Expected milliseconds until the response is complete, for services whose servers report
+        /// their work time.
+        std::optional<double> expectedTime;
+        /// The caller took the response too slowly for the times to show the server's speed.
+        bool wasThrottled = false;
+    };
+
     Base::Result<void> tryAdmit();
+    Forwarding::ServerSelectionHint selectionHint() const;
+    void beginMeasurement(
+        const Forwarding::KnownServer &server, const Forwarding::ServerSelectionHint &hint);
+    void reportMeasurement();
     void checkPrompt();
     static Base::Failure quarantineFailure(Base::Milliseconds retryAfter);
     Base::Milliseconds noServerRetryAfter() const;
@@ -133,6 +156,7 @@
     Base::Milliseconds m_loadReportAge;
     Base::Milliseconds m_lastActivityAt;
     StreamProgress m_progress;
+    Attempt m_attempt;
     Response m_response;
     /// Joins the events of all attempts into one stream.
     Forwarding::EventSplitter m_events;
--- /dev/null
+++ b/Libraries/Carawaykeel/Ingress/ExchangeMeasurement.cpp
@@ -0,0 +1,40 @@
+// The part of Exchange that measures how long servers take.
+#include <Carawaykeel/Ingress/Exchange.h>
+
+#include <algorithm>
+
+namespace Carawaykeel::Ingress {
+
+Forwarding::ServerSelectionHint Exchange::selectionHint() const
+{
+    return {m_service, m_requestMetadata.promptParts, m_triedServers,
+        m_requestMetadata.expectedResponseTokens};
+}
+
+void Exchange::beginMeasurement(
+    const Forwarding::KnownServer &server, const Forwarding::ServerSelectionHint &hint)
+{
+    const auto now = m_context.reactor.now();
+    m_attempt = Attempt();
+    m_attempt.sentAt = now;
+    m_attempt.requestsAhead = m_context.serverPool.estimatedRequestsAt(server, now);
+    if (!hint.prompt.empty()) {
+        const auto uncached = server.promptCache.countUncachedTokens(hint.prompt, now);
+        m_attempt.promptTokens = static_cast<double>(m_tokensAhead + uncached.count() + 1);
+    }
+    m_attempt.earlierEvents = m_events.eventCount();
+    m_attempt.expectedTime = m_context.serverPool.expectedTime(server, hint, now);
+}
+
+void Exchange::reportMeasurement()
+{
+    if (m_attempt.wasThrottled)
+        return;
+    const auto now = m_context.reactor.now();
+    const auto events = static_cast<double>(m_events.eventCount() - m_attempt.earlierEvents);
+    m_context.serverPool.onServed(m_server,
+        {m_attempt.firstPartAt.value_or(now) - m_attempt.sentAt, now - m_attempt.sentAt,
+            m_attempt.requestsAhead, m_attempt.promptTokens, events * m_tokensPerEvent});
+}
+
+} // namespace Carawaykeel::Ingress
