Forwarding: Send no prompt to a server whose memory it does not fit into

A server whose memory is full crashes when more is sent. The configuration's engine.kvCapacity is the number of tokens that a server's memory holds. ServerMemory adds this instance's requests there (prompt, and the caller's estimate of the response or its bound), and the reported requests of others at the average size of this instance's. A server is left out where this exceeds nine tenths of the capacity; if no server is left, the request is rejected as not run. The rule applies to services whose responses carry the fourth figure of the load report and whose kvCapacity is declared.

--- a/Libraries/Carawaykeel/Forwarding/KnownServer.h
+++ b/Libraries/Carawaykeel/Forwarding/KnownServer.h
@@ -31,6 +31,8 @@
     int sentSinceReport = 0;
     /// Unprocessed prompt tokens of this instance's requests that have no part of a response yet.
     Base::Tokens unprocessedTokens;
+    /// Tokens of this instance's requests at the server, prompts and expected responses.
+    Base::Tokens tokensInMemory;
     std::map<Base::InstanceName, PeerBacklog> peerBacklogs;
     PromptCacheEstimate promptCache;
     LearnedSpeed speed;
--- a/Libraries/Carawaykeel/Forwarding/RouterConfiguration.h
+++ b/Libraries/Carawaykeel/Forwarding/RouterConfiguration.h
@@ -39,6 +39,9 @@
     Base::Milliseconds coldTime;
     /// Requests per second that a cold server tolerates; zero when there is no such limit.
     double coldRequestsPerSecond = 0;
+    /// Number of tokens that one server's memory holds, of prompts and responses together; zero
+    /// when it is not declared.
+    Base::Tokens memoryTokens = {};
 };
 
 /// Limits on requests and connections of callers.
@@ -70,6 +73,8 @@
     /// Returns the team with a name; null when there is none.
     const Team *findTeamByName(const Base::TeamId &name) const;
 
+    const std::map<Base::ServiceName, ServiceDefinition> &services() const { return m_services; }
+
     /// Returns the definition of a service; null when it is not declared.
     const ServiceDefinition *findService(const Base::ServiceName &name) const;
 
--- a/Libraries/Carawaykeel/Forwarding/ServerPool.h
+++ b/Libraries/Carawaykeel/Forwarding/ServerPool.h
@@ -6,6 +6,7 @@
 #include <Carawaykeel/Forwarding/KnownServer.h>
 #include <Carawaykeel/Forwarding/RequestMetadata.h>
 #include <Carawaykeel/Forwarding/ServerBacklog.h>
+#include <Carawaykeel/Forwarding/ServerMemory.h>
 
 #include <deque>
 #include <functional>
@@ -68,6 +69,8 @@
     std::set<Base::ServerName> triedServers;
     /// Tokens to be expected in the response; empty when unknown.
     std::optional<Base::Tokens> responseTokens = {};
+    /// Tokens that the request occupies in a server's memory, prompt and response.
+    Base::Tokens memoryTokens = {};
 };
 
 /// The announced servers and the selection among them.
@@ -168,6 +171,12 @@
     /// servers are cold.
     std::optional<Base::Milliseconds> timeUntilWarm(
         const Base::ServiceName &service, Base::Milliseconds now) const;
+    /// Sets how many tokens the memory of each server of a service holds; 0 for no limit.
+    void setMemoryCapacity(const Base::ServiceName &service, Base::Tokens capacity);
+    /// Records that a request occupies a server's memory until onMemoryFreed().
+    void onMemoryUsed(const Base::ServerName &name, Base::Tokens tokens);
+    void onMemoryFreed(const Base::ServerName &name, Base::Tokens tokens);
+
     /// Records a request that the server has served, from which its speed is learned.
     void onServed(const Base::ServerName &name, const ServedAttempt &attempt);
 
@@ -212,6 +221,7 @@
     const ServerSelectionPolicy m_policy;
     Base::RandomEngine &m_random;
     CompletionTime m_completionTime;
+    ServerMemory m_memory;
     std::map<Base::ServerName, KnownServer> m_servers;
     /// Services whose servers report their work time.
     std::set<Base::ServiceName> m_unevenServices;
--- a/Libraries/Carawaykeel/Forwarding/ServerPoolTimes.cpp
+++ b/Libraries/Carawaykeel/Forwarding/ServerPoolTimes.cpp
@@ -49,8 +49,12 @@
 {
     const auto *preferred = preferredServer(hint);
     std::vector<ServerWork> works;
-    for (const auto *server : candidates)
-        works.push_back(workAt(*server, hint, preferred, now));
+    for (const auto *server : candidates) {
+        if (m_memory.fits(*server, estimatedRequestsAt(*server, now), hint.memoryTokens))
+            works.push_back(workAt(*server, hint, preferred, now));
+    }
+    if (works.empty())
+        return nullptr;
     return m_completionTime.selectServer(works, requestWork(hint), now);
 }
 
@@ -68,6 +72,28 @@
     return m_completionTime.estimate(works, requestWork(hint), now).front();
 }
 
+void ServerPool::setMemoryCapacity(const Base::ServiceName &service, Base::Tokens capacity)
+{
+    m_memory.setCapacity(service, capacity);
+}
+
+void ServerPool::onMemoryUsed(const Base::ServerName &name, Base::Tokens tokens)
+{
+    const auto it = m_servers.find(name);
+    if (it == m_servers.end())
+        return;
+    it->second.tokensInMemory += tokens;
+    m_memory.onRequestSent(it->second.entry.service, tokens);
+}
+
+void ServerPool::onMemoryFreed(const Base::ServerName &name, Base::Tokens tokens)
+{
+    const auto it = m_servers.find(name);
+    if (it != m_servers.end()) {
+        it->second.tokensInMemory = std::max(it->second.tokensInMemory - tokens, Base::Tokens());
+    }
+}
+
 void ServerPool::onServed(const Base::ServerName &name, const ServedAttempt &attempt)
 {
     if (const auto it = m_servers.find(name); it != m_servers.end())
--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -345,6 +345,8 @@
 void Exchange::endAttempt(bool hasFailed)
 {
     markPromptProcessed();
+    m_context.serverPool.onMemoryFreed(
+        m_server, std::exchange(m_attempt.memoryTokens, Base::Tokens()));
     m_context.serverPool.onAttemptEnded(m_server, hasFailed, m_context.reactor.now());
     if (m_connection)
         m_context.serverConnections.release(std::exchange(m_connection, nullptr));
--- a/Libraries/Carawaykeel/Ingress/Exchange.h
+++ b/Libraries/Carawaykeel/Ingress/Exchange.h
@@ -72,6 +72,8 @@
         double requestsAhead = 0;
         /// Estimated prompt tokens that the server processes until the first part.
         double promptTokens = 0;
+        /// Tokens that the request occupies in the server's memory.
+        Base::Tokens memoryTokens;
         /// Events of earlier attempts.
         std::uint64_t earlierEvents = 0;
         /// Expected milliseconds until the response is complete, for services whose servers report
@@ -83,6 +85,7 @@
 
     Base::Result<void> tryAdmit();
     Forwarding::ServerSelectionHint selectionHint() const;
+    Base::Tokens memoryTokens() const;
     void beginMeasurement(
         const Forwarding::KnownServer &server, const Forwarding::ServerSelectionHint &hint);
     void reportMeasurement();
--- a/Libraries/Carawaykeel/Ingress/ExchangeMeasurement.cpp
+++ b/Libraries/Carawaykeel/Ingress/ExchangeMeasurement.cpp
@@ -8,7 +8,17 @@
 Forwarding::ServerSelectionHint Exchange::selectionHint() const
 {
     return {m_service, m_requestMetadata.promptParts, m_triedServers,
-        m_requestMetadata.expectedResponseTokens};
+        m_requestMetadata.expectedResponseTokens, memoryTokens()};
+}
+
+Base::Tokens Exchange::memoryTokens() const
+{
+    Base::Tokens prompt;
+    for (const auto &part : m_requestMetadata.promptParts)
+        prompt += part.tokens;
+    const auto response =
+        m_requestMetadata.expectedResponseTokens.value_or(m_requestMetadata.maxResponseTokens);
+    return std::max(prompt, m_requestMetadata.promptTokens) + response;
 }
 
 void Exchange::beginMeasurement(
@@ -22,6 +32,8 @@
         const auto uncached = server.promptCache.countUncachedTokens(hint.prompt, now);
         m_attempt.promptTokens = static_cast<double>(m_tokensAhead + uncached.count() + 1);
     }
+    m_attempt.memoryTokens = hint.memoryTokens;
+    m_context.serverPool.onMemoryUsed(m_server, hint.memoryTokens);
     m_attempt.earlierEvents = m_events.eventCount();
     m_attempt.expectedTime = m_context.serverPool.expectedTime(server, hint, now);
 }
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -199,6 +199,8 @@
     const auto previous = std::exchange(m_context.configuration, configuration);
     m_membership->setConfigurationVersion(configuration->version());
     m_serverPool.coldServers().setConfiguration(configuration);
+    for (const auto &[name, service] : configuration->services())
+        m_serverPool.setMemoryCapacity(name, service.memoryTokens);
     std::vector<Budget::PrepaidTokens> prepaid;
     for (const auto &team : configuration->teams()) {
         if (!team.prepaidTokens)
--- a/Tests/Forwarding/UnevenServersTest.cpp
+++ b/Tests/Forwarding/UnevenServersTest.cpp
@@ -165,6 +165,7 @@
     CPPUNIT_TEST(requestsFollowSpeed);
     CPPUNIT_TEST(shortSlowdownIsAvoidedForItsTime);
     CPPUNIT_TEST(promptsGoWhereTheyCompleteFirst);
+    CPPUNIT_TEST(promptsAreNotSentToFullMemory);
     CPPUNIT_TEST(instancesWithTheSameReportSpread);
     CPPUNIT_TEST_SUITE_END();
 
@@ -249,6 +250,37 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(expected(1).value(), expected(0).value(), 1);
     }
 
+    /// Guards against a prompt that crashes a server because its memory is full.
+    void promptsAreNotSentToFullMemory()
+    {
+        Base::RandomEngine random(3);
+        Forwarding::ServerPool pool(Base::DataCentre("dc"), {}, random);
+        pool.setMemoryCapacity(Service, Base::Tokens(10'000));
+        const auto name = makeEntry(0).name;
+        pool.addOrUpdate(makeEntry(0));
+        const std::vector<Forwarding::PromptPart> prompt{{1, Base::Tokens(100)}};
+        const auto canSend = [&](std::int64_t tokens) {
+            const auto *server = pool.selectServer(
+                {Service, prompt, {}, {}, Base::Tokens(tokens)}, Base::Milliseconds(10));
+            return server != nullptr;
+        };
+        // Without the fourth figure, the rule does not apply.
+        CPPUNIT_ASSERT(canSend(20'000));
+        pool.onLoadReport(name, {0, 0, Slots, 100}, Base::Milliseconds(10));
+        CPPUNIT_ASSERT(!canSend(20'000));
+        CPPUNIT_ASSERT(canSend(9'000));
+        pool.onRequestSent(name, prompt, Base::Milliseconds(10));
+        pool.onMemoryUsed(name, Base::Tokens(4'000));
+        CPPUNIT_ASSERT(canSend(5'000));
+        CPPUNIT_ASSERT(!canSend(5'001));
+        // Another instance's request at the server counts as large as this instance's.
+        pool.onLoadReport(name, {2, 0, Slots, 100}, Base::Milliseconds(10));
+        CPPUNIT_ASSERT(canSend(1'000));
+        CPPUNIT_ASSERT(!canSend(1'001));
+        pool.onMemoryFreed(name, Base::Tokens(4'000));
+        CPPUNIT_ASSERT(canSend(5'000));
+    }
+
     /// Guards against all instances choosing the server that the last report praises.
     void instancesWithTheSameReportSpread()
     {
--- a/Tests/Platform/DecoderTest.cpp
+++ b/Tests/Platform/DecoderTest.cpp
@@ -17,7 +17,7 @@
 {"name":"r2","host":"a.example","prefix":"/q/","kind":"safe","timeoutMs":800,"goalMs":100,
 "priority":2,"service":"two","maxAttempts":2,"public":true}],
 "services":[{"name":"one","healthPath":"/health","maxConns":370,"coldS":2.5,"coldPerS":10.0,
-"engine":{"slots":64,"stride":6}},
+"engine":{"slots":64,"stride":6,"kvCapacity":250000}},
 {"name":"two","healthPath":"/health","maxConns":110}],
 "limits":{"headerBytes":16384,"bodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[{"name":"red","apiKeys":["k1","k2"],"priority":1,"prepaid":3179661},
@@ -89,6 +89,8 @@
         CPPUNIT_ASSERT_EQUAL(10.0, one->coldRequestsPerSecond);
         const auto *two = configuration.findService(Base::ServiceName("two"));
         CPPUNIT_ASSERT(two->coldTime == Base::Milliseconds() && two->coldRequestsPerSecond == 0);
+        CPPUNIT_ASSERT(configuration.findService(Base::ServiceName("one"))->memoryTokens
+            == Base::Tokens(250'000));
         CPPUNIT_ASSERT(configuration.findTeamByKey("k2")->prepaidTokens == Base::Tokens(3'179'661));
         CPPUNIT_ASSERT(!configuration.findTeamByKey("k3")->prepaidTokens);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(15'000), configuration.limits().idleTimeout.count());
