Ingress: Withdraw waiting requests after all evacuations of one read

Cause: with two evacuations in one read of the table, a request withdrawn from the first data centre could be sent to the second. A table with many unusable rows wrote a log line for each at every read. A test did not notice when evacuated servers shortened the Retry-After of paused ones.

Change: requests are withdrawn once all changes that came together are applied; one line tells the number of unusable rows; the test pauses all servers that are not evacuated.

--- a/Libraries/Carawaykeel/Ingress/EvacuationSubscriber.cpp
+++ b/Libraries/Carawaykeel/Ingress/EvacuationSubscriber.cpp
@@ -21,12 +21,12 @@
 
 EvacuationSubscriber::EvacuationSubscriber(std::string keyPrefix, Base::Scheduler &scheduler,
     Forwarding::ServerPool &serverPool, EvacuationTransport &transport,
-    std::function<void()> onEvacuated, const Logging::Logger &log)
+    std::function<void()> onApplied, const Logging::Logger &log)
     : m_keyPrefix(std::move(keyPrefix))
     , m_scheduler(scheduler)
     , m_serverPool(serverPool)
     , m_transport(transport)
-    , m_onEvacuated(std::move(onEvacuated))
+    , m_onApplied(std::move(onApplied))
     , m_log(log)
 {
 }
@@ -70,22 +70,24 @@
 void EvacuationSubscriber::onTableResults(std::span<const RegisterResult> results)
 {
     bool hasChanged = false;
+    std::vector<std::string> unusable;
     for (const auto &[evacuation, update] : results) {
         if (update == RegisterUpdate::Applied) {
             hasChanged = true;
             onChanged(evacuation, TableSource);
         }
-        if (update == RegisterUpdate::Rejected && evacuation.isEvacuated) {
-            const auto &name = evacuation.dataCentre.text();
-            m_log.warn(LogEvent::EvacuationUnusable,
-                LogFields()
-                    .add("data_centre", name.substr(0, EvacuationRegisters::MaxNameBytes))
-                    .add("bytes", name.size())
-                    .add("evacuated", m_registers.evacuatedCount()));
-        }
+        if (update == RegisterUpdate::Rejected && evacuation.isEvacuated)
+            unusable.push_back(evacuation.dataCentre.text());
+    }
+    if (!unusable.empty()) {
+        m_log.warn(LogEvent::EvacuationUnusable,
+            LogFields()
+                .add("data_centre", unusable.front().substr(0, EvacuationRegisters::MaxNameBytes))
+                .add("rows", unusable.size())
+                .add("evacuated", m_registers.evacuatedCount()));
     }
     if (hasChanged)
-        m_transport.sendToSome(m_registers.all());
+        onRegistersChanged();
 }
 
 void EvacuationSubscriber::onPeerReport(
@@ -103,7 +105,7 @@
         }
     }
     if (hasChanged)
-        m_transport.sendToSome(m_registers.all());
+        onRegistersChanged();
     if (isOutdated)
         m_transport.sendTo(from, m_registers.all());
 }
@@ -117,8 +119,12 @@
             .add("evacuated", evacuation.isEvacuated)
             .add("version", evacuation.version)
             .add("source", source));
-    if (evacuation.isEvacuated)
-        m_onEvacuated();
+}
+
+void EvacuationSubscriber::onRegistersChanged()
+{
+    m_onApplied();
+    m_transport.sendToSome(m_registers.all());
 }
 
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/EvacuationSubscriber.h
+++ b/Libraries/Carawaykeel/Ingress/EvacuationSubscriber.h
@@ -22,10 +22,10 @@
 class EvacuationSubscriber : public Platform::ChangeListener
 {
 public:
-    /// `onEvacuated` is called after the server pool has learned of a new evacuation.
+    /// `onApplied` is called after the server pool has learned of all changes that came together.
     EvacuationSubscriber(std::string keyPrefix, Base::Scheduler &scheduler,
         Forwarding::ServerPool &serverPool, EvacuationTransport &transport,
-        std::function<void()> onEvacuated, const Logging::Logger &log);
+        std::function<void()> onApplied, const Logging::Logger &log);
 
     void onSnapshot(const std::vector<Platform::Row> &rows, std::uint64_t version) override;
     void onChanges(const std::vector<Platform::RowChange> &changes) override;
@@ -42,13 +42,14 @@
 private:
     std::optional<Base::DataCentre> dataCentreOf(std::string_view key) const;
     void onTableResults(std::span<const Forwarding::RegisterResult> results);
+    void onRegistersChanged();
     void onChanged(const Forwarding::Evacuation &evacuation, std::string_view source);
 
     const std::string m_keyPrefix;
     Base::Scheduler &m_scheduler;
     Forwarding::ServerPool &m_serverPool;
     EvacuationTransport &m_transport;
-    const std::function<void()> m_onEvacuated;
+    const std::function<void()> m_onApplied;
     const Logging::Logger &m_log;
     Forwarding::EvacuationRegisters m_registers;
 };
--- a/Tests/Forwarding/EvacuationTest.cpp
+++ b/Tests/Forwarding/EvacuationTest.cpp
@@ -132,8 +132,10 @@
         CPPUNIT_ASSERT(!pool.isBlockedByEvacuation(Service, Now));
         setEvacuated("a");
         CPPUNIT_ASSERT_EQUAL(100, selectedDataCentres()["c"]);
-        pool.onServerPaused(Base::ServerName("server-0"), Base::Milliseconds(500), Now);
-        CPPUNIT_ASSERT(!pool.timeUntilUnpaused(Service, Now));
+        constexpr Base::Milliseconds Pause(500);
+        for (const auto *name : {"server-2", "server-5", "server-8"})
+            pool.onServerPaused(Base::ServerName(name), Pause, Now);
+        CPPUNIT_ASSERT(pool.timeUntilUnpaused(Service, Now) == Pause);
         setEvacuated("c");
         CPPUNIT_ASSERT(selectedDataCentres().empty());
         CPPUNIT_ASSERT(!pool.hasUntriedServer(Service, {}, Now));
