Ingress: Send no request on after its caller's time

On a small VM, requests wait for seconds, unread while the reactor is busy or in the buffers of a full link, and were still sent on after their callers had given up. DelayAccount now accounts for both: the lateness of a timer shows how long events wait for the processor, and the bytes sent since then over vm.link_mbps how long bytes wait for the link. A request whose remaining time is not above these delays is rejected at once as not run (queue_deadline, 503), with a Retry-After of the delay, at least 300 ms, and as much again at random. The same is checked before each attempt.

--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -80,6 +80,8 @@
 {
     if (m_sentAttempts == 0)
         m_progress.timeToFirstAttempt = elapsed();
+    if (!canMeetDeadline())
+        return fail(deadlineFailure());
     if (!m_hasStreamStarted && !m_isTrial
         && m_context.promptGuard.isQuarantined(m_requestMetadata.promptParts)) {
         auto failure =
@@ -119,6 +121,7 @@
         m_unprocessedTokens =
             m_context.serverPool.onRequestSent(m_server, m_requestMetadata.promptParts, now);
         m_context.backlogBroadcaster.onBacklogChanged(m_server);
+        m_context.delays.onBytesSent(bytes.size(), now);
         m_connection->sendRequest(m_head->getMethod(), m_requestMetadata.id, bytes, *this);
         startInactivityTimer();
         return;
@@ -195,6 +198,7 @@
 {
     const auto self = shared_from_this();
     m_lastActivityAt = m_context.reactor.now();
+    m_context.delays.onBytesSent(bytes.size(), m_lastActivityAt);
     m_attempt.firstPartAt = m_attempt.firstPartAt.value_or(m_lastActivityAt);
     if (m_unprocessedTokens > Base::Tokens()) {
         markPromptProcessed();
--- a/Libraries/Carawaykeel/Ingress/Exchange.h
+++ b/Libraries/Carawaykeel/Ingress/Exchange.h
@@ -101,6 +101,8 @@
     bool isBrokenOff() const;
     void holdTokens();
     void sendAttempt();
+    bool canMeetDeadline() const;
+    Base::Failure deadlineFailure();
     std::string encode(const Forwarding::KnownServer &server);
     void startTimeout();
     void startInactivityTimer();
--- a/Libraries/Carawaykeel/Ingress/ExchangeAdmission.cpp
+++ b/Libraries/Carawaykeel/Ingress/ExchangeAdmission.cpp
@@ -17,6 +17,8 @@
 constexpr Base::Milliseconds MemoryRetryAfter{300};
 /// Retry-After of requests whose team's tokens are unreachable.
 constexpr Base::Milliseconds BudgetRetryAfter{400};
+/// Smallest Retry-After of requests that cannot be sent on in their caller's time.
+constexpr Base::Milliseconds MinDeadlineRetryAfter{300};
 
 } // namespace
 
@@ -39,6 +41,24 @@
         });
 }
 
+bool Exchange::canMeetDeadline() const
+{
+    return remainingTime() > m_context.delays.delay(m_context.reactor.now());
+}
+
+Base::Failure Exchange::deadlineFailure()
+{
+    m_context.delays.onRejected();
+    if (m_mayHaveRun)
+        return {Base::ErrorKind::ServerTimeout, "the caller's time is over", Base::Milliseconds()};
+    // Spreads the callers that come back over the time that this instance needs to catch up.
+    const auto delay =
+        std::max(m_context.delays.delay(m_context.reactor.now()), MinDeadlineRetryAfter);
+    std::uniform_int_distribution<std::int64_t> jitter(0, delay.count());
+    return {Base::ErrorKind::QueueTimeout, "the request cannot be sent on in the caller's time",
+        delay + Base::Milliseconds(jitter(m_context.random))};
+}
+
 Base::Milliseconds Exchange::noServerRetryAfter() const
 {
     const auto now = m_context.reactor.now();
@@ -110,6 +130,8 @@
     if (m_tokensPerEvent == 0)
         m_priority.reset();
     m_timeout = std::min(m_route.timeout, m_requestMetadata.timeout.value_or(m_route.timeout));
+    if (!canMeetDeadline())
+        return boost::leaf::new_error(deadlineFailure());
     if (!m_context.serverPool.hasUntriedServer(m_service, m_triedServers, m_startedAt)) {
         return boost::leaf::new_error(
             noServerFailure(Base::ErrorKind::NoServerAvailable, "no server takes requests"));
--- a/Libraries/Carawaykeel/Ingress/ExchangeContext.h
+++ b/Libraries/Carawaykeel/Ingress/ExchangeContext.h
@@ -8,6 +8,7 @@
 #include <Carawaykeel/Forwarding/ServerPool.h>
 #include <Carawaykeel/Ingress/BacklogBroadcaster.h>
 #include <Carawaykeel/Ingress/BufferAccount.h>
+#include <Carawaykeel/Ingress/DelayAccount.h>
 #include <Carawaykeel/Ingress/PromptGuard.h>
 #include <Carawaykeel/Ingress/RouterMetrics.h>
 #include <Carawaykeel/Ingress/ServerConnectionPool.h>
@@ -43,6 +44,7 @@
     std::uint64_t startedExchanges = 0;
     /// Number of requests that were rejected because only cold servers without room were left.
     std::uint64_t heldBackRequests = 0;
+    DelayAccount delays = {};
 };
 
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -191,6 +191,8 @@
     m_allotments.start();
     m_promptGuard.start();
     startColdServerLimit();
+    m_context.delays.setLinkRate(m_settings.linkMbps);
+    measureDelay();
     runMaintenance();
 }
 
@@ -237,6 +239,12 @@
     m_membership->setLoad(static_cast<std::uint32_t>(std::lround(m_requestsPerSecond)));
 }
 
+void Router::measureDelay()
+{
+    m_context.delays.onTick(m_reactor.now());
+    m_reactor.schedule(DelayAccount::TickInterval, [this] { measureDelay(); });
+}
+
 void Router::runMaintenance()
 {
     measureLoad();
--- a/Libraries/Carawaykeel/Ingress/Router.h
+++ b/Libraries/Carawaykeel/Ingress/Router.h
@@ -85,6 +85,7 @@
     void requestServerList();
     void measureLoad();
     void runMaintenance();
+    void measureDelay();
     void startMetricsListener();
     std::string metricsPage() const;
     void writeBufferMetrics(Metrics::PrometheusWriter &writer) const;
--- a/Libraries/Carawaykeel/Ingress/RouterMetricsPage.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterMetricsPage.cpp
@@ -56,6 +56,13 @@
         m_retryBudget.instanceCount().value_or(0));
     writeEvacuationMetrics(writer);
     writeColdServerMetrics(writer);
+    writer.writeGauge("processor_delay_ms", "How long events wait for the processor.",
+        m_context.delays.processorDelay(m_reactor.now()).count());
+    writer.writeGauge("link_delay_ms", "How long bytes to be sent wait for the link.",
+        m_context.delays.linkDelay(m_reactor.now()).count());
+    writer.writeCounter("requests_late_total",
+        "Requests that could not be sent on in their caller's time.",
+        m_context.delays.rejectedCount());
     writeBufferMetrics(writer);
     m_allotments.writeMetrics(writer);
     writePeerMetrics(writer);
--- a/Libraries/Carawaykeel/Ingress/RouterSettings.h
+++ b/Libraries/Carawaykeel/Ingress/RouterSettings.h
@@ -52,6 +52,8 @@
         std::size_t(DefaultMemoryMegabytes) * 1'024 * 1'024 / DefaultBufferDivisor;
     /// Requests per second that the VM can carry; 0 if unknown.
     std::uint32_t capacity = 0;
+    /// Bandwidth of the VM's link in Mbit/s; 0 if unknown.
+    double linkMbps = 0;
     Forwarding::RetryBudgetPolicy retries;
     Forwarding::ServerSelectionPolicy serverSelection;
     /// Empty if requests to cold servers are not limited.
--- a/Libraries/Carawaykeel/Ingress/RouterSettingsParser.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterSettingsParser.cpp
@@ -46,6 +46,7 @@
     constexpr double MaxLinkMbps = 1'000'000;
     const auto coreShare = reader.optionalNumber("core_share", 0, 0, MaxCores);
     const auto linkMbps = reader.optionalNumber("link_mbps", 0, 0, MaxLinkMbps);
+    settings.linkMbps = linkMbps;
     settings.capacity = Entries::estimateCapacity(coreShare, linkMbps);
     constexpr std::int64_t MinMemoryMegabytes = 16;
     constexpr std::int64_t MaxMemoryMegabytes = 1'048'576;
--- a/Tests/Ingress/ExchangeTest.cpp
+++ b/Tests/Ingress/ExchangeTest.cpp
@@ -87,6 +87,7 @@
     CPPUNIT_TEST(refusalWithoutIdIsNotTrustedOnAKeptConnection);
     CPPUNIT_TEST(callerDisconnectCancelsServerRequest);
     CPPUNIT_TEST(timeoutResponseIsSentInTime);
+    CPPUNIT_TEST(requestWithoutTimeLeftIsNotSent);
     CPPUNIT_TEST(invalidRequestsAreRejected);
     CPPUNIT_TEST(connectionCarriesManyRequests);
     CPPUNIT_TEST_SUITE_END();
@@ -483,6 +484,17 @@
         CPPUNIT_ASSERT(elapsed < std::chrono::milliseconds(800));
     }
 
+    /// Guards against requests that are sent although their caller has given up.
+    void requestWithoutTimeLeftIsNotSent()
+    {
+        ScriptedServer server(respondNormally);
+        RouterHarness router(makeRoute(Forwarding::RouteKind::Unsafe), {server.address()});
+        const auto response = router.call(RouterHarness::makeRequest("1", "X-Deadline-Ms: 0\r\n"));
+        CPPUNIT_ASSERT_EQUAL(503, response.status);
+        CPPUNIT_ASSERT(response.head.find("Retry-After: ") != std::string::npos);
+        CPPUNIT_ASSERT(server.requests().empty());
+    }
+
     void invalidRequestsAreRejected()
     {
         ScriptedServer server(respondNormally);
