--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -492,6 +492,7 @@
         .add("load_age_ms", m_loadReportAge.count())
         .add("prompt_tokens", m_requestMetadata.promptTokens.count())
         .add("used_tokens", m_usedTokens.count());
+    logMeasurement(fields);
     if (!m_failureReason.empty())
         fields.add("reason", m_failureReason);
     const bool isRoutine = outcome == ServedOutcome && m_sentAttempts == 1;
--- a/Libraries/Carawaykeel/Ingress/Exchange.h
+++ b/Libraries/Carawaykeel/Ingress/Exchange.h
@@ -79,6 +79,9 @@
         /// Expected milliseconds until the response is complete, for services whose servers report
         /// their work time.
         std::optional<double> expectedTime;
+        /// What was learned of the server: milliseconds of a request and of a prompt token.
+        std::optional<double> requestTime;
+        std::optional<double> promptTokenTime;
         /// The caller took the response too slowly for the times to show the server's speed.
         bool wasThrottled = false;
     };
@@ -89,6 +92,7 @@
     void beginMeasurement(
         const Forwarding::KnownServer &server, const Forwarding::ServerSelectionHint &hint);
     void reportMeasurement();
+    void logMeasurement(Logging::LogFields &fields) const;
     void checkPrompt();
     static Base::Failure quarantineFailure(Base::Milliseconds retryAfter);
     Base::Milliseconds noServerRetryAfter() const;
--- a/Libraries/Carawaykeel/Ingress/ExchangeContext.h
+++ b/Libraries/Carawaykeel/Ingress/ExchangeContext.h
@@ -45,6 +45,10 @@
     /// Number of requests that were rejected because only cold servers without room were left.
     std::uint64_t heldBackRequests = 0;
     DelayAccount delays = {};
+    /// Expected and measured times of the served attempts that had an expected time. The expected
+    /// times are in milliseconds.
+    double expectedTimeTotal = 0;
+    Base::Milliseconds measuredTimeTotal = {};
 };
 
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/Router.h
+++ b/Libraries/Carawaykeel/Ingress/Router.h
@@ -91,6 +91,8 @@
     void writeBufferMetrics(Metrics::PrometheusWriter &writer) const;
     void writeEvacuationMetrics(Metrics::PrometheusWriter &writer) const;
     void writeColdServerMetrics(Metrics::PrometheusWriter &writer) const;
+    void writeEntryMetrics(Metrics::PrometheusWriter &writer) const;
+    void writeServerTimeMetrics(Metrics::PrometheusWriter &writer) const;
     void writePeerMetrics(Metrics::PrometheusWriter &writer) const;
     void awaitActiveExchanges(Base::Milliseconds deadline);
     void returnTokens(Base::Milliseconds deadline);
--- a/Libraries/Carawaykeel/Ingress/RouterMetricsPage.cpp
+++ b/Libraries/Carawaykeel/Ingress/RouterMetricsPage.cpp
@@ -5,6 +5,8 @@
 
 #include <Poco/Exception.h>
 #include <algorithm>
+#include <cmath>
+#include <fmt/core.h>
 
 namespace Carawaykeel::Ingress {
 
@@ -63,6 +65,8 @@
     writer.writeCounter("requests_late_total",
         "Requests that could not be sent on in their caller's time.",
         m_context.delays.rejectedCount());
+    writeEntryMetrics(writer);
+    writeServerTimeMetrics(writer);
     writeBufferMetrics(writer);
     m_allotments.writeMetrics(writer);
     writePeerMetrics(writer);
@@ -101,6 +105,26 @@
         m_buffers.reclaimedCount(BufferKind::UnsentResponse));
 }
 
+void Router::writeServerTimeMetrics(Metrics::PrometheusWriter &writer) const
+{
+    writer.writeCounter("expected_ms_total",
+        "Expected times of the served attempts that had one, in milliseconds.",
+        static_cast<std::uint64_t>(m_context.expectedTimeTotal));
+    writer.writeCounter("measured_ms_total", "Measured times of the same attempts.",
+        static_cast<std::uint64_t>(m_context.measuredTimeTotal.count()));
+    // Servers beyond this number are left out, which limits the size of the page.
+    constexpr std::size_t MaxServers = 64;
+    std::size_t count = 0;
+    writer.writeHeader("server_request_ms", "Learned time of a request at a server.", "gauge");
+    for (const auto &server : m_serverPool.servers()) {
+        const auto time = server.speed.requestTime();
+        if (!time || !server.reportedLoad.workTimePercent || ++count > MaxServers)
+            continue;
+        writer.writeSample("server_request_ms",
+            fmt::format("server=\"{}\"", server.entry.name.text()), std::lround(*time));
+    }
+}
+
 void Router::writePeerMetrics(Metrics::PrometheusWriter &writer) const
 {
     writer.writeGauge("peer_connections_out", "Connections that were opened to other instances.",
--- a/Libraries/Carawaykeel/Logging/LogEvent.cpp
+++ b/Libraries/Carawaykeel/Logging/LogEvent.cpp
@@ -19,6 +19,8 @@
         return "request";
     case LogEvent::AttemptFailed:
         return "attempt_failed";
+    case LogEvent::EntryPlanChanged:
+        return "entry_plan_changed";
     case LogEvent::EntryAnswered:
         return "entry_answered";
     case LogEvent::ConfigurationInForce:
--- a/Libraries/Carawaykeel/Logging/LogEvent.h
+++ b/Libraries/Carawaykeel/Logging/LogEvent.h
@@ -14,6 +14,7 @@
     Request,
     AttemptFailed,
     EntryAnswered,
+    EntryPlanChanged,
     ConfigurationInForce,
     ConfigurationUnusable,
     ConfigurationReached,
