Membership: Pass loads on in large fleets

Each datagram carries its sender's load only, so that a member of a large fleet knows few loads of the last 5 s and plans entries from a sample.

--- a/Libraries/Carawaykeel/Membership/GossipMessage.h
+++ b/Libraries/Carawaykeel/Membership/GossipMessage.h
@@ -3,6 +3,7 @@
 #include <Carawaykeel/Forwarding/Evacuation.h>
 #include <Carawaykeel/Forwarding/PromptReport.h>
 #include <Carawaykeel/Forwarding/ServerBacklog.h>
+#include <Carawaykeel/Membership/LoadReport.h>
 #include <Carawaykeel/Membership/Member.h>
 
 #include <cstdint>
@@ -27,6 +28,8 @@
     /// Reports the data centres that are or were evacuated. The receiver replies with a message of
     /// the same kind only if it knows of a newer state.
     Evacuations,
+    /// Reports the loads of members that the sender knows; gets no reply.
+    Loads,
 };
 
 /// A gossip datagram. Each carries the sender, its configuration version and piggybacked updates.
@@ -47,6 +50,8 @@
     std::vector<Forwarding::PromptReport> promptReports = {};
     /// Present only in Evacuations, which instances of earlier versions ignore.
     std::vector<Forwarding::Evacuation> evacuations = {};
+    /// Present only in Loads, which instances of earlier versions ignore.
+    std::vector<LoadReport> loads = {};
 
     template <class Archive>
     void serialize(Archive &archive)
@@ -57,6 +62,8 @@
             archive(promptReports);
         if (kind == GossipKind::Evacuations)
             archive(evacuations);
+        if (kind == GossipKind::Loads)
+            archive(loads);
     }
 };
 
--- a/Libraries/Carawaykeel/Membership/Membership.cpp
+++ b/Libraries/Carawaykeel/Membership/Membership.cpp
@@ -10,9 +10,6 @@
 namespace {
 
 constexpr std::size_t MaxEndedIncarnations = 256;
-/// A busy instance sends reports all the time; one that was not heard of for this long counts as
-/// idle.
-constexpr Base::Milliseconds LoadLifetime{5'000};
 
 /// Returns true when an update supersedes the known state of the same incarnation.
 bool isNewer(const Member &update, const Member &known)
@@ -61,6 +58,7 @@
         sendEvacuationsWithProbe(member->gossipAddress);
         probe(*member);
     }
+    relayLoads();
     m_scheduler.schedule(m_policy.probePeriod, [this] { runProbePeriod(); });
 }
 
@@ -158,7 +156,7 @@
         sender.state = MemberState::Alive;
         applyUpdate(sender);
         enqueueIfNotAlive(message.sender.id.name);
-        m_loads[message.sender.id.name] = {message.load, m_scheduler.now()};
+        recordLoad(message.sender.id.name, message.load, m_scheduler.now());
     }
     for (const auto &update : message.updates)
         applyUpdate(update);
@@ -190,6 +188,8 @@
     case GossipKind::Evacuations:
         if (m_events.onEvacuations)
             m_events.onEvacuations(message.sender.id.name, message.evacuations);
+    case GossipKind::Loads:
+        onLoadReports(message.loads);
         break;
     case GossipKind::MemberListRequest:
         sendKnownEvacuations(message.sender.gossipAddress);
@@ -272,16 +272,6 @@
     m_configurationVersion = version;
 }
 
-std::optional<std::uint32_t> Membership::loadOf(const Base::InstanceName &name) const
-{
-    if (name == m_self.id.name)
-        return m_load;
-    const auto it = m_loads.find(name);
-    const bool isKnown =
-        it != m_loads.end() && m_scheduler.now() - it->second.receivedAt < LoadLifetime;
-    return isKnown ? std::optional(it->second.load) : std::nullopt;
-}
-
 void Membership::markVmGone(const std::string &vm)
 {
     if (!m_goneVms.insert(vm).second)
--- a/Libraries/Carawaykeel/Membership/Membership.h
+++ b/Libraries/Carawaykeel/Membership/Membership.h
@@ -130,6 +130,11 @@
     void probeIndirectly(const Base::InstanceName &name, std::uint64_t sequence);
     void requestMemberLists(std::size_t count);
     void sendMemberList(const std::string &address);
+    void recordLoad(
+        const Base::InstanceName &name, std::uint32_t load, Base::Milliseconds reportedAt);
+    void onLoadReports(std::span<const LoadReport> reports);
+    /// Sends some of the loads that this instance knows to random members.
+    void relayLoads();
     void sendPromptReports(
         std::string_view address, std::span<const Forwarding::PromptReport> reports);
     void sendEvacuations(
--- a/Libraries/Carawaykeel/Membership/MembershipPolicy.h
+++ b/Libraries/Carawaykeel/Membership/MembershipPolicy.h
@@ -48,6 +48,13 @@
     /// the evacuations. With every second one, an instance that missed the first datagrams gets
     /// about five more within the 5 s in which an evacuation must be in effect.
     std::size_t evacuationPeriods = 2;
+    /// Number of other members from which on loads are passed on. Below, probes alone bring each
+    /// member's load within a few seconds.
+    std::size_t minMembersForLoadReports = 16;
+    /// Maximum number of loads in one datagram; they fit into one packet.
+    std::size_t maxLoadsPerMessage = 32;
+    /// Number of random members that get loads in each probe period.
+    std::size_t loadReportReceivers = 2;
 };
 
 } // namespace Carawaykeel::Membership
--- a/Tests/Membership/MembershipTest.cpp
+++ b/Tests/Membership/MembershipTest.cpp
@@ -98,6 +98,7 @@
 {
     CPPUNIT_TEST_SUITE(MembershipTest);
     CPPUNIT_TEST(allInstancesOfLargeFleetAreKnownSoonAfterStart);
+    CPPUNIT_TEST(loadsOfLargeFleetAreKnownWithinSeconds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -112,6 +113,26 @@
             CPPUNIT_ASSERT_EQUAL(InstanceCount, fleet.minServingMembers());
         });
     }
+
+    /// Guards against plans from the loads of the few members that probed an instance lately.
+    void loadsOfLargeFleetAreKnownWithinSeconds()
+    {
+        forEachSeed(3, [](int seed) {
+            Fleet fleet(seed);
+            for (const std::uint32_t load : {20, 90}) {
+                for (const auto &node : fleet.nodes)
+                    node->membership().setLoad(load);
+                fleet.world.run(Base::Milliseconds(8'000));
+                std::size_t known = 0;
+                for (const auto &node : fleet.nodes) {
+                    for (const auto &member : node->membership().servingMembers())
+                        known += node->membership().loadOf(member.id.name) == load ? 1 : 0;
+                }
+                const auto share = static_cast<double>(known) / (InstanceCount * InstanceCount);
+                CPPUNIT_ASSERT_MESSAGE(fmt::format("known {:.3f}", share), share > 0.95);
+            }
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
