Entries: Name at least two addresses where capacities are unknown

A drawn answer leaves out VMs of unknown capacity, so that it could name a single address. The usual answer is given then.

EntryPlannerTest (4), EntrySelectionTest (7) and MembershipTest (2) pass.

--- a/Libraries/Carawaykeel/Entries/EntryPlanner.cpp
+++ b/Libraries/Carawaykeel/Entries/EntryPlanner.cpp
@@ -217,7 +217,9 @@
             scaleLoads(local, it->second);
         return selectEntryAddresses(std::move(local));
     }
-    return drawAddresses(dataCentre, it->second, candidates);
+    auto addresses = drawAddresses(dataCentre, it->second, candidates);
+    // VMs of unknown capacity are not drawn.
+    return addresses.size() < MinAddresses ? selectEntryAddresses(std::move(local)) : addresses;
 }
 
 double EntryPlanner::shareOf(const Base::DataCentre &from, const DataCentrePlan &plan,
--- a/Libraries/Carawaykeel/Membership/Membership.cpp
+++ b/Libraries/Carawaykeel/Membership/Membership.cpp
@@ -188,6 +188,7 @@
     case GossipKind::Evacuations:
         if (m_events.onEvacuations)
             m_events.onEvacuations(message.sender.id.name, message.evacuations);
+        break;
     case GossipKind::Loads:
         onLoadReports(message.loads);
         break;
--- a/Libraries/Carawaykeel/Membership/MembershipLoads.cpp
+++ b/Libraries/Carawaykeel/Membership/MembershipLoads.cpp
@@ -63,8 +63,8 @@
         return;
     std::ranges::shuffle(reports, m_random);
     reports.resize(std::min(reports.size(), m_policy.maxLoadsPerMessage));
-    GossipMessage message{
-        GossipKind::Loads, 0, m_self, {}, m_configurationVersion, m_load, {}, {}, {}, {}, reports};
+    GossipMessage message{GossipKind::Loads, 0, m_self, {}, m_configurationVersion, m_load, {}, {},
+        {}, {}, {}, reports};
     for (const auto *member : selectRandomMembers(m_policy.loadReportReceivers))
         m_transport.send(member->gossipAddress, message);
 }
