Budget: Repeat a return without a reply until the row shows it

Cause: a stop sent its returning commit once. Where the reply was lost, or where a report without a reply had begun before the stop, the tokens stayed allotted to an instance that had ended. The router waited 0.9 s.

Change: the instance reads the rows again after 200 ms and writes the same amount under the version that it read, until the rows lack its allotment; a row without it is not written again, so that nothing is counted twice. The router waits until 300 ms before the end of the shutdown timeout, at least 0.9 s as before, and logs when that time was over.

--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.cpp
@@ -140,8 +140,9 @@
     m_returnAllCallback = std::move(callback);
     if (m_accounts.empty())
         return finishReport(true);
-    // At shutdown there is no time to wait for a table that was unreachable at the last report.
-    if (!m_isTableReachable && !m_isReporting) {
+    // A stop may have less than a second for this, so it does not wait for a table that did not
+    // reply to the last read.
+    if (!m_isTableReachable && !m_isReadAnswered && !m_isReporting) {
         transferToPeers();
         return finishReport(false);
     }
--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.h
@@ -91,7 +91,8 @@
     void onTokensTransferred(const Base::InstanceId &from, const Peer::TransferTokens &message);
 
     /// Returns all unspent tokens to the table, or transfers them to another instance if the table
-    /// is unreachable. Calls `callback` with true if the table has them.
+    /// is unreachable. Calls `callback` with true if the table has them. A return without a reply
+    /// is repeated until the rows show it, without a time limit, so the caller sets one.
     void returnAll(std::function<void(bool)> callback);
 
 private:
@@ -185,6 +186,7 @@
     void adoptRow(const Base::TeamId &team, Account &account, const Platform::Row *row);
     void commitBatch(int remainingTries);
     void commitNextBatch();
+    bool isReturned(const Account &account) const;
     bool hasToReturn(Platform::CommitOutcome outcome) const;
     Platform::Transaction planBatch();
     AllotmentRow planRow(const Base::TeamId &team, Account &account, Base::Milliseconds serviceNow);
@@ -251,6 +253,10 @@
     bool m_isReportScheduled = false;
     bool m_isTableReachable = false;
     bool m_isReturningAll = false;
+    /// The last read got a reply, even if the commit after it did not.
+    bool m_isReadAnswered = false;
+    /// A returning commit got no reply, and the rows have not shown yet whether it took effect.
+    bool m_isReturnUnconfirmed = false;
     bool m_hasTransferred = false;
     std::function<void(bool)> m_returnAllCallback;
     /// Allotments that the commit in progress closes by estimate.
--- a/Libraries/Carawaykeel/Budget/AllotmentPlanning.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentPlanning.cpp
@@ -32,6 +32,9 @@
         auto &account = m_accounts.at(team);
         if (!needsWrite(team, account))
             continue;
+        // Another write would count what was spent a second time.
+        if (m_isReturningAll && isReturned(account))
+            continue;
         m_writtenTeams.push_back(team);
         account.hadPendingCommit = account.pendingCommitVersion.has_value();
         auto row = planRow(team, account, serviceNow);
@@ -44,6 +47,13 @@
     return transaction;
 }
 
+bool AllotmentHolder::isReturned(const Account &account) const
+{
+    // A negative amount was counted as spent and has been given back since.
+    return !account.row.find(m_self) && !account.pendingCommitVersion
+        && account.spent >= Base::Tokens();
+}
+
 AllotmentRow AllotmentHolder::planRow(
     const Base::TeamId &team, Account &account, Base::Milliseconds serviceNow)
 {
@@ -66,7 +76,10 @@
     }
     next.dropExpiredEstimates(serviceNow);
     if (m_isReturningAll) {
-        next.closedSpent += account.spent;
+        // A repetition counts the same amount, so it does not matter which one takes effect.
+        if (!account.relinquishedSpent)
+            account.relinquishedSpent = account.spent;
+        next.closedSpent += *account.relinquishedSpent;
         return next;
     }
     if (tryPlanRelinquishing(team, account, next))
--- a/Libraries/Carawaykeel/Budget/AllotmentPolicy.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentPolicy.h
@@ -47,6 +47,8 @@
     Base::Milliseconds maxGrowthWait{3'000};
     /// For this long after the table was unreachable, requests do not wait for a report.
     Base::Milliseconds unreachableRetryDelay{700};
+    /// Delay before a returning report without a reply is repeated.
+    Base::Milliseconds returnRetryDelay{200};
     /// Tries of one report when it conflicts with the writes of other instances.
     int maxConflictTries = 10;
     /// Maximum retry delay of a report after a conflict.
--- a/Libraries/Carawaykeel/Budget/AllotmentReports.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentReports.cpp
@@ -152,7 +152,8 @@
 void AllotmentHolder::onRowsRead(bool isReachable, std::optional<Base::Milliseconds> serviceNow,
     const std::vector<Platform::Row> &rows, int remainingTries)
 {
-    if (!isReachable || !serviceNow) {
+    m_isReadAnswered = isReachable && serviceNow;
+    if (!m_isReadAnswered) {
         // Nothing was written, so no other instance can hold the tokens held here.
         if (m_isReturningAll)
             transferToPeers();
@@ -247,6 +248,7 @@
         }
         return retryBatch(std::max(remainingTries - 1, 1));
     case Platform::CommitOutcome::Unknown:
+        m_isReturnUnconfirmed = m_isReturnUnconfirmed || m_isReportReturning;
         break;
     }
     if (!m_unwrittenTeams.empty())
@@ -318,8 +320,11 @@
     if (!isReachable)
         m_tableRetryAt = m_scheduler.now() + m_policy.unreachableRetryDelay;
     // The report began before the stop, so what it wrote keeps the allotments.
-    if (m_isReturningAll && isReachable && !m_isReportReturning && !m_accounts.empty())
+    if (m_isReturningAll && m_isReadAnswered && !m_isReportReturning && !m_accounts.empty())
         return startReport();
+    if (m_isReturningAll && !isReachable && m_isReturnUnconfirmed && m_returnAllCallback) {
+        return m_scheduler.schedule(m_policy.returnRetryDelay, [this] { startReport(); });
+    }
     if (m_isReturningAll) {
         auto callback = std::exchange(m_returnAllCallback, nullptr);
         if (callback)
--- a/Libraries/Carawaykeel/Ingress/Router.cpp
+++ b/Libraries/Carawaykeel/Ingress/Router.cpp
@@ -31,6 +31,8 @@
 constexpr Base::Milliseconds DrainPollInterval{50};
 /// Part of the shutdown timeout that is reserved for returning tokens.
 constexpr Base::Milliseconds TokenReturnTime{1'200};
+/// Part of the shutdown timeout that is reserved for the end of the process.
+constexpr Base::Milliseconds ExitTime{300};
 
 std::vector<std::string> gossipSeeds(const RouterSettings &settings)
 {
@@ -295,10 +297,10 @@
     m_membership->announceLeaving();
     m_forwardHandler.startDraining();
     m_reactor.schedule(IdleCloseDelay, [this] { m_callerListener.closeIdle(); });
+    m_shutdownDeadline = m_reactor.now() + m_settings.shutdownTimeout;
     m_reactor.schedule(AcceptTimeDuringShutdown, [this] {
         m_context.isRejectingRequests = true;
-        awaitActiveExchanges(m_reactor.now() + m_settings.shutdownTimeout - AcceptTimeDuringShutdown
-            - TokenReturnTime);
+        awaitActiveExchanges(m_shutdownDeadline - TokenReturnTime);
     });
 }
 
@@ -312,7 +314,8 @@
         return;
     }
     m_callerListener.stopAccepting();
-    returnTokens(m_reactor.now() + TokenReturnTime * 3 / 4);
+    returnTokens(
+        std::max(m_shutdownDeadline - ExitTime, m_reactor.now() + TokenReturnTime - ExitTime));
 }
 
 void Router::returnTokens(Base::Milliseconds deadline)
@@ -322,7 +325,11 @@
             LogFields().add("handed_back", isReturned).add("active", m_context.activeExchanges));
         m_reactor.stop();
     });
-    m_reactor.schedule(deadline - m_reactor.now(), [this] { m_reactor.stop(); });
+    m_reactor.schedule(deadline - m_reactor.now(), [this] {
+        m_log.warn(LogEvent::Left,
+            LogFields().add("handed_back", false).add("active", m_context.activeExchanges));
+        m_reactor.stop();
+    });
 }
 
 } // namespace Carawaykeel::Ingress
--- a/Libraries/Carawaykeel/Ingress/Router.h
+++ b/Libraries/Carawaykeel/Ingress/Router.h
@@ -139,6 +139,7 @@
     std::uint64_t m_exchangesAtMeasurement = 0;
     double m_requestsPerSecond = 0;
     bool m_isShuttingDown = false;
+    Base::Milliseconds m_shutdownDeadline;
 };
 
 } // namespace Carawaykeel::Ingress
--- a/Tests/Budget/UnusableTokensTest.cpp
+++ b/Tests/Budget/UnusableTokensTest.cpp
@@ -18,6 +18,10 @@
 constexpr std::int64_t LargestRequest = 13'000;
 /// Power cuts of all processes last 1.5 to 5 s.
 constexpr Base::Milliseconds PowerCut{4'000};
+/// Within this time all requests have ended.
+constexpr Base::Milliseconds RequestTime{4'000};
+/// What the shutdown timeout of 8 s leaves for the return when requests end early.
+constexpr Base::Milliseconds ReturnTime{5'200};
 /// Requirement: this long after the processes are back, what they lost is known.
 constexpr Base::Milliseconds RecoveryTime{5'000};
 
@@ -94,6 +98,7 @@
     CPPUNIT_TEST(powerCutCostsWhatHasGrown);
     CPPUNIT_TEST(powerCutOfALargeFleetCostsWhatHasGrown);
     CPPUNIT_TEST(powerCutCostsACalmTeamLittle);
+    CPPUNIT_TEST(stopRepeatsAReturnWithoutReply);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -105,6 +110,29 @@
 
     /// Guards against growth that does not depend on use: a calm team would lose as much.
     void powerCutCostsACalmTeamLittle() { checkMeanUnusable(SmallFleet, CalmGapMs, 5); }
+
+    /// Guards against a stop whose returning commit gets no reply: the tokens stay allotted, or are
+    /// counted as spent twice.
+    void stopRepeatsAReturnWithoutReply()
+    {
+        forEachSeed(40, [](int seed) {
+            SteadyTeam team(seed, SmallFleet, BusyGapMs);
+            team.run(Base::Milliseconds(10'000 + 20 * seed));
+            team.world.run(RequestTime);
+            const auto before = team.unusable();
+            team.fleet.table().replyLoss = seed % 2 == 0 ? 1 : 0.6;
+            team.fleet.table().lateCommit = seed % 2 == 0 ? 0 : 0.4;
+            bool isReturned = false;
+            team.fleet.holder(0).returnAll([&](bool isDone) { isReturned = isDone; });
+            team.world.run(ReturnTime);
+            team.fleet.kill(0);
+            CPPUNIT_ASSERT(isReturned);
+            const auto row = team.fleet.table().range("allotment/").front().value;
+            CPPUNIT_ASSERT(row.find(AllotmentFleet::nameOf(0) + "\"") == std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(fmt::format("{} before, {} after", before, team.unusable()),
+                team.unusable() - before <= Prepaid / 100);
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UnusableTokensTest);
