--- a/Libraries/Carawaykeel/Budget/AllotmentPlanning.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentPlanning.cpp
@@ -126,8 +126,8 @@
     allotment.deferred = std::min(maxSize - allotment.immediate, growth);
     allotment.growthDelay = m_policy.growthDelay;
     // Where the size is limited, growth ends sooner at the same rate.
-    allotment.growthTime = std::max(m_policy.horizon * allotment.deferred.count()
-            / std::max<std::int64_t>(growth.count(), 1),
+    allotment.growthTime = std::max(
+        m_policy.horizon * allotment.deferred.count() / std::max<std::int64_t>(growth.count(), 1),
         Base::Milliseconds(1));
     return allotment;
 }
--- a/Libraries/Carawaykeel/Budget/RecentUse.cpp
+++ b/Libraries/Carawaykeel/Budget/RecentUse.cpp
@@ -25,8 +25,7 @@
 {
     const auto latest = static_cast<double>(used.count()) * MillisecondsPerSecond
         / static_cast<double>(interval.count());
-    if (std::abs(m_tokensPerSecond) < MinTokensPerSecond
-        && std::abs(latest) < MinTokensPerSecond) {
+    if (std::abs(m_tokensPerSecond) < MinTokensPerSecond && std::abs(latest) < MinTokensPerSecond) {
         m_tokensPerSecond = 0;
         m_intervals = 0;
         return;
