--- a/Libraries/Carawaykeel/Forwarding/CompletionTime.cpp
+++ b/Libraries/Carawaykeel/Forwarding/CompletionTime.cpp
@@ -18,6 +18,11 @@
 /// Random addition to the estimate for a prompt, as a part of its waiting and processing time.
 constexpr double PromptNoise = 0.1;
 
+/// Weight of the time in which a server generates the response. Callers of streams wait for the
+/// first event; at full weight a server that generates faster outweighs one that has the prompt
+/// cached.
+constexpr double ResponseTimeWeight = 0.1;
+
 using Figure = std::optional<double> (LearnedSpeed::*)() const;
 
 /// Returns the middle of what the servers have; the fallback if none has the figure.
@@ -61,7 +66,8 @@
             const auto queued = std::max(work.requests + 1 - slots, 0.0);
             time = (work.tokensAhead + work.uncachedTokens + work.penaltyTokens)
                     * speed.promptTokenTime().value_or(promptTokenTime)
-                + responseTokens * speed.responseTokenTime().value_or(responseTokenTime)
+                + ResponseTimeWeight * responseTokens
+                    * speed.responseTokenTime().value_or(responseTokenTime)
                 + queued / slots * speed.requestTime().value_or(requestTime);
         } else {
             time = speed.requestTime().value_or(requestTime)
