--- a/Libraries/Carawaykeel/Ingress/Exchange.h
+++ b/Libraries/Carawaykeel/Ingress/Exchange.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace Carawaykeel::Ingress {
@@ -61,6 +62,8 @@
     void onResponseFailed(Forwarding::AttemptOutcome outcome) override;
 
 private:
+    static constexpr std::string_view ServedOutcome = "served";
+
     /// Data received from the server in the current attempt.
     struct Response
     {
