Tests: Hold tokens and entries to the stated bounds

Cause: the tests of unusable tokens after a power cut and of uneven demand at full capacity were bounded by what was measured.

--- a/Libraries/Carawaykeel/Budget/AllotmentLoans.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentLoans.cpp
@@ -175,8 +175,8 @@
     }
     if (account.pendingHolds.empty())
         return;
-    // Other instances than holders take from the table only after all holders were asked repeatedly,
-    // since each further writer of a row conflicts with the others.
+    // Other instances than holders take from the table only after all holders were asked
+    // repeatedly, since each further writer of a row conflicts with the others.
     if (canReportNow()) {
         account.needsAllotment = !isHolder;
         return scheduleReport();
--- a/Tests/Budget/UnusableTokensTest.cpp
+++ b/Tests/Budget/UnusableTokensTest.cpp
@@ -24,6 +24,8 @@
 constexpr Base::Milliseconds ReturnTime{5'200};
 /// Requirement: this long after the processes are back, what they lost is known.
 constexpr Base::Milliseconds RecoveryTime{5'000};
+/// Requirement: the part of the prepaid tokens that may be unusable after that time, in percent.
+constexpr std::int64_t MaxUnusablePercent = 3;
 
 /// One team under steady load.
 struct SteadyTeam
@@ -76,8 +78,8 @@
     return team.unusable();
 }
 
-/// Fails unless the mean of ten seeds is at most this percentage of the prepaid tokens.
-void checkMeanUnusable(int instances, std::int64_t meanGapMs, std::int64_t maxPercent)
+/// Fails unless the mean of ten seeds is at most MaxUnusablePercent of the prepaid tokens.
+void checkMeanUnusable(int instances, std::int64_t meanGapMs)
 {
     std::int64_t sum = 0;
     std::int64_t runs = 0;
@@ -86,7 +88,7 @@
         ++runs;
     });
     CPPUNIT_ASSERT_MESSAGE(fmt::format("{} of {} unusable", sum / runs, Prepaid),
-        sum * 100 <= Prepaid * runs * maxPercent);
+        sum * 100 <= Prepaid * runs * MaxUnusablePercent);
 }
 
 } // namespace
@@ -95,21 +97,20 @@
 class UnusableTokensTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(UnusableTokensTest);
-    CPPUNIT_TEST(powerCutCostsWhatHasGrown);
-    CPPUNIT_TEST(powerCutOfALargeFleetCostsWhatHasGrown);
+    CPPUNIT_TEST(powerCutCostsABusyTeamLittle);
+    CPPUNIT_TEST(powerCutOfALargeFleetCostsABusyTeamLittle);
     CPPUNIT_TEST(powerCutCostsACalmTeamLittle);
     CPPUNIT_TEST(stopRepeatsAReturnWithoutReply);
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    /// Guards against growth that makes a whole allotment spendable within seconds. The bound is
-    /// what growth that serves outages costs (docs/design/allotments.md).
-    void powerCutCostsWhatHasGrown() { checkMeanUnusable(SmallFleet, BusyGapMs, 23); }
+    /// Guards against growth that makes a whole allotment spendable within seconds.
+    void powerCutCostsABusyTeamLittle() { checkMeanUnusable(SmallFleet, BusyGapMs); }
 
-    void powerCutOfALargeFleetCostsWhatHasGrown() { checkMeanUnusable(LargeFleet, BusyGapMs, 22); }
+    void powerCutOfALargeFleetCostsABusyTeamLittle() { checkMeanUnusable(LargeFleet, BusyGapMs); }
 
     /// Guards against growth that does not depend on use: a calm team would lose as much.
-    void powerCutCostsACalmTeamLittle() { checkMeanUnusable(SmallFleet, CalmGapMs, 5); }
+    void powerCutCostsACalmTeamLittle() { checkMeanUnusable(SmallFleet, CalmGapMs); }
 
     /// Guards against a stop whose returning commit gets no reply: the tokens stay allotted, or are
     /// counted as spent twice.
--- a/Tests/Entries/EntryPlannerTest.cpp
+++ b/Tests/Entries/EntryPlannerTest.cpp
@@ -170,6 +170,28 @@
     double m_remote = 0;
 };
 
+/// Fails unless callers of all data centres are served equally often, within 5 in 100, when 60 in
+/// 100 of the requests come from one data centre and then from another.
+void checkSpread(double demand)
+{
+    constexpr Base::Milliseconds Phase(60'000);
+    constexpr double HotShare = 0.6;
+    constexpr double MaxSpread = 0.05;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        std::array<double, 2> spreads{};
+        for (const bool plans : {false, true}) {
+            EntryFleet fleet(seed, plans);
+            fleet.play(demand, 0, HotShare, Phase);
+            fleet.play(demand, 1, HotShare, Phase);
+            spreads.at(plans ? 1 : 0) = fleet.spread();
+        }
+        const auto figures = fmt::format(
+            "demand {} seed {}: {:.3f} instead of {:.3f}", demand, seed, spreads[1], spreads[0]);
+        CPPUNIT_ASSERT_MESSAGE(figures, spreads[1] <= MaxSpread);
+        CPPUNIT_ASSERT_MESSAGE(figures, spreads[0] > 0.1);
+    }
+}
+
 } // namespace
 
 /// Where callers are sent when one data centre's VMs do not suffice.
@@ -177,6 +199,7 @@
 {
     CPPUNIT_TEST_SUITE(EntryPlannerTest);
     CPPUNIT_TEST(unevenDemandIsServedEvenly);
+    CPPUNIT_TEST(unevenDemandOfTheWholeCapacityIsServedEvenly);
     CPPUNIT_TEST(answersStayWhileThereIsRoom);
     CPPUNIT_TEST(steadyDemandNearTheLimitChangesNothing);
     CPPUNIT_TEST(wholeFleetFullKeepsCallersAtHome);
@@ -187,27 +210,15 @@
     /// VMs of the others idle.
     void unevenDemandIsServedEvenly()
     {
-        constexpr Base::Milliseconds Phase(60'000);
-        constexpr double HotShare = 0.6;
-        // A third, a half and two thirds of what the fleet can carry, and all of it, where each VM
-        // that chance gives too much shows.
-        for (const double demand : {1'200.0, 1'800.0, 2'400.0, 3'600.0}) {
-            for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-                std::array<double, 2> spreads{};
-                for (const bool plans : {false, true}) {
-                    EntryFleet fleet(seed, plans);
-                    fleet.play(demand, 0, HotShare, Phase);
-                    fleet.play(demand, 1, HotShare, Phase);
-                    spreads.at(plans ? 1 : 0) = fleet.spread();
-                }
-                const auto figures = fmt::format("demand {} seed {}: {:.3f} instead of {:.3f}",
-                    demand, seed, spreads[1], spreads[0]);
-                CPPUNIT_ASSERT_MESSAGE(figures, spreads[1] <= (demand < 3'000 ? 0.05 : 0.1));
-                CPPUNIT_ASSERT_MESSAGE(figures, spreads[0] > 0.1);
-            }
-        }
+        // A third, a half and two thirds of what the fleet can carry.
+        for (const double demand : {1'200.0, 1'800.0, 2'400.0})
+            checkSpread(demand);
     }
 
+    /// Guards against the same at the fleet's full capacity, where each VM that chance gives too
+    /// much shows.
+    void unevenDemandOfTheWholeCapacityIsServedEvenly() { checkSpread(3'600); }
+
     /// Guards against sending callers elsewhere without need.
     void answersStayWhileThereIsRoom()
     {
