Ingress: Send no request on while the link is behind

Change: no request is sent on while bytes wait longer than 400 ms for the link; it is rejected at once as not run. DelayAccountTest 3, ExchangeTest 29 pass.

--- a/Libraries/Carawaykeel/Ingress/DelayAccount.h
+++ b/Libraries/Carawaykeel/Ingress/DelayAccount.h
@@ -17,6 +17,10 @@
     /// A shorter delay of the processor counts as none: timers are that late on idle VMs too.
     static constexpr Base::Milliseconds MinProcessorDelay{20};
 
+    /// No request is sent on while bytes wait longer than this for the link. They arrive even when
+    /// their caller has gone meanwhile, and servers would work for callers that left long ago.
+    static constexpr Base::Milliseconds MaxLinkDelay{400};
+
     /// Sets the bandwidth of the link in Mbit/s; 0 if it is unknown, so that it is never behind.
     void setLinkRate(double megabitsPerSecond);
 
@@ -37,6 +41,12 @@
     {
         return processorDelay(now) + linkDelay(now);
     }
+    /// Returns true if a request that is sent on now reaches its server in its caller's remaining
+    /// time, and soon enough that a caller that leaves can still be followed.
+    bool canSend(Base::Milliseconds remainingTime, Base::Milliseconds now) const
+    {
+        return linkDelay(now) <= MaxLinkDelay && remainingTime > delay(now);
+    }
     std::uint64_t rejectedCount() const { return m_rejected; }
 
 private:
--- a/Libraries/Carawaykeel/Ingress/ExchangeAdmission.cpp
+++ b/Libraries/Carawaykeel/Ingress/ExchangeAdmission.cpp
@@ -43,7 +43,7 @@
 
 bool Exchange::canMeetDeadline() const
 {
-    return remainingTime() > m_context.delays.delay(m_context.reactor.now());
+    return m_context.delays.canSend(remainingTime(), m_context.reactor.now());
 }
 
 Base::Failure Exchange::deadlineFailure()
--- a/Tests/Ingress/DelayAccountTest.cpp
+++ b/Tests/Ingress/DelayAccountTest.cpp
@@ -1,5 +1,6 @@
 #include <Carawaykeel/Ingress/DelayAccount.h>
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace Carawaykeel::Tests {
@@ -10,6 +11,7 @@
     CPPUNIT_TEST_SUITE(DelayAccountTest);
     CPPUNIT_TEST(processorIsAsLateAsItsTimer);
     CPPUNIT_TEST(linkDrainsAtItsRate);
+    CPPUNIT_TEST(busyCallerOnASlowLinkIsRejected);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -45,6 +47,28 @@
         CPPUNIT_ASSERT(account.delay(Milliseconds(2'600)) == Milliseconds(500));
         CPPUNIT_ASSERT(account.delay(Milliseconds(4'000)) == Milliseconds());
     }
+
+    /// Guards against requests that wait for seconds in the buffers of a slow link and reach their
+    /// servers long after their caller has left.
+    void busyCallerOnASlowLinkIsRejected()
+    {
+        constexpr std::size_t RequestBytes = 50'000;
+        account.setLinkRate(10);
+        int sent = 0;
+        Milliseconds longestDelay{};
+        // Twice what the link carries, for five seconds.
+        for (Milliseconds now(1'000); now < Milliseconds(6'000); now += Milliseconds(20)) {
+            if (!account.canSend(Milliseconds(12'000), now))
+                continue;
+            account.onBytesSent(RequestBytes, now);
+            longestDelay = std::max(longestDelay, account.linkDelay(now));
+            ++sent;
+        }
+        CPPUNIT_ASSERT(longestDelay <= Milliseconds(440));
+        // The link stays in full use: five seconds and what waits at the end.
+        CPPUNIT_ASSERT(sent >= 125);
+        CPPUNIT_ASSERT(!account.canSend(Milliseconds(), Milliseconds(9'000)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DelayAccountTest);
