--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -20,6 +20,9 @@
 DAEMON = os.environ.get("ROUTER", os.path.join(ROOT, "target/Services/Carawaykeeld/carawaykeeld"))
 KEY = "key-of-tenant-one-0001"
 
+# A script that is stopped early still ends its processes.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
 
 def now():
     return time.monotonic()
