Http: Reject responses whose status is not from 100 to 599

Callers saw: a response with a status such as 600 or 999 as it was, the body of a response with a status such as 000, 099, 20 or +20 read as if it were the response, or a 504 at the end of their route's timeout. The table service's client took a configuration from such a body.

Cause: the library parses a status as a number of any size and sign, and all below 200 counted as interim.

Change: tryParseResponseHead() fails unless the status is three digits from 100 to 599. It is the parser of the path to backend servers and of the table service's client.

Already handled, tests kept: each byte that no field name may hold, in heads and interim heads on this path.

--- a/Libraries/Carawaykeel/Http/HeadParser.cpp
+++ b/Libraries/Carawaykeel/Http/HeadParser.cpp
@@ -58,6 +58,19 @@
     return text.substr(0, text.find_last_not_of(Blanks) + 1);
 }
 
+/// Returns true if the status is three digits from 100 to 599. The library reads any number, also a
+/// signed or grouped one, and a status below 200 would count as that of an interim response.
+bool hasValidStatus(std::string_view statusLine)
+{
+    constexpr std::string_view Blanks = " \t";
+    constexpr std::size_t StatusLength = 3;
+    auto status =
+        trim(statusLine.substr(std::min(statusLine.find_first_of(Blanks), statusLine.size())));
+    status = status.substr(0, status.find_first_of(Blanks));
+    return status.size() == StatusLength && status.front() >= '1' && status.front() <= '5'
+        && std::ranges::all_of(status, [](char c) { return c >= '0' && c <= '9'; });
+}
+
 /// Adds the fields of a well-formed head without its first line.
 void addFields(std::string_view lines, Poco::Net::HTTPMessage &message)
 {
@@ -150,6 +163,8 @@
 
 Base::Result<ResponseHead> tryParseResponseHead(std::string_view head)
 {
+    if (!hasValidStatus(head.substr(0, head.find(LineEnd))))
+        return Base::fail(Base::ErrorKind::ServerFailed, "the status is not from 100 to 599");
     return tryParse<Poco::Net::HTTPResponse>(head, Base::ErrorKind::ServerFailed);
 }
 
--- a/Libraries/Carawaykeel/Http/HeadParser.h
+++ b/Libraries/Carawaykeel/Http/HeadParser.h
@@ -29,7 +29,8 @@
 /// interpret differently: bare line feeds, spaces in field names, folded lines, two lengths.
 Base::Result<RequestHead> tryParseRequestHead(std::string_view head);
 
-/// Parses a complete response head. Fails with ServerFailed.
+/// Parses a complete response head. Fails with ServerFailed for what tryParseRequestHead() rejects
+/// and for a status that is not three digits from 100 to 599.
 Base::Result<ResponseHead> tryParseResponseHead(std::string_view head);
 
 } // namespace Carawaykeel::Http
--- a/Tests/CallerCrowds/DaemonProcess.cpp
+++ b/Tests/CallerCrowds/DaemonProcess.cpp
@@ -2,7 +2,6 @@
 
 #include <Support/NeighbourInstance.h>
 #include <Support/RouterHarness.h>
-#include <Support/ScriptedServer.h>
 #include <platform/WireNames.h>
 
 #include <Poco/Base64Encoder.h>
@@ -61,33 +60,6 @@
         "HTTP/1.1 200 OK\r\n{}Content-Length: {}\r\n\r\n{}", fields, body.size(), body)};
 }
 
-/// Tables `op` with the configuration and `servers` with one server; nothing changes.
-ScriptedServer::Script tableScript(const std::string &serverAddress)
-{
-    return [serverAddress](const ReceivedRequest &request, int) -> ScriptedResponse {
-        const auto line = request.head.substr(0, request.head.find('\r'));
-        const auto has = [&line](const std::string &text) {
-            return line.find(text) != std::string::npos;
-        };
-        std::string row;
-        if (has(Names::FeedPath)) {
-            // The table service holds a read of a feed until a row changes.
-            std::this_thread::sleep_for(std::chrono::milliseconds(400));
-        } else if (!has(Names::RowsPath)) {
-            return {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"};
-        } else if (has(fmt::format("table={}&", Names::OperatorTable))) {
-            row = fmt::format(R"({{"key":"{}","value":"{}","ver":1}})", Names::ConfigurationKey,
-                encodeBase64(Configuration));
-        } else if (has(fmt::format("table={}&", Names::ServerTable))) {
-            const auto entry = fmt::format(
-                R"({{"service":"one","address":"{}","zone":"dc","slots":64,"state":"ready"}})",
-                serverAddress);
-            row = fmt::format(R"({{"key":"server","value":"{}","ver":1}})", encodeBase64(entry));
-        }
-        return respond("", fmt::format(R"({{"rows":[{}],"ver":1,"nowMs":1}})", row));
-    };
-}
-
 /// Answers "/unsafe/large" with a megabyte, streams with events without end, and anything else with
 /// a few bytes.
 ScriptedResponse serverScript(const ReceivedRequest &request, int)
@@ -110,7 +82,7 @@
 struct StandIns
 {
     ScriptedServer server{serverScript};
-    ScriptedServer table{tableScript(server.address())};
+    ScriptedServer table{makeTableScript(server.address())};
 };
 
 StandIns &standIns()
@@ -138,13 +110,44 @@
 
 } // namespace
 
+ScriptedServer::Script makeTableScript(const std::string &serverAddress)
+{
+    return [serverAddress](const ReceivedRequest &request, int) -> ScriptedResponse {
+        const auto line = request.head.substr(0, request.head.find('\r'));
+        const auto has = [&line](const std::string &text) {
+            return line.find(text) != std::string::npos;
+        };
+        std::string row;
+        if (has(Names::FeedPath)) {
+            // The table service holds a read of a feed until a row changes.
+            std::this_thread::sleep_for(std::chrono::milliseconds(400));
+        } else if (!has(Names::RowsPath)) {
+            return {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"};
+        } else if (has(fmt::format("table={}&", Names::OperatorTable))) {
+            row = fmt::format(R"({{"key":"{}","value":"{}","ver":1}})", Names::ConfigurationKey,
+                encodeBase64(Configuration));
+        } else if (has(fmt::format("table={}&", Names::ServerTable))) {
+            const auto entry = fmt::format(
+                R"({{"service":"one","address":"{}","zone":"dc","slots":64,"state":"ready"}})",
+                serverAddress);
+            row = fmt::format(R"({{"key":"server","value":"{}","ver":1}})", encodeBase64(entry));
+        }
+        return respond("", fmt::format(R"({{"rows":[{}],"ver":1,"nowMs":1}})", row));
+    };
+}
+
 DaemonProcess::DaemonProcess(const DaemonLimits &limits)
+    : DaemonProcess(limits, standIns().table.address())
+{
+}
+
+DaemonProcess::DaemonProcess(const DaemonLimits &limits, const std::string &tableAddress)
     : m_callerAddress(makeLoopbackAddress())
     , m_readinessAddress(makeLoopbackAddress())
     , m_entryAddress(makeLoopbackAddress())
     , m_metricsAddress(makeLoopbackAddress())
 {
-    m_settingsFile = writeSettings(limits);
+    m_settingsFile = writeSettings(limits, tableAddress);
     start(limits);
 }
 
@@ -158,7 +161,8 @@
     std::filesystem::remove(m_settingsFile, ec);
 }
 
-std::string DaemonProcess::writeSettings(const DaemonLimits &limits) const
+std::string DaemonProcess::writeSettings(
+    const DaemonLimits &limits, const std::string &tableAddress) const
 {
     static int number = 0;
     const auto file = std::filesystem::temp_directory_path()
@@ -169,7 +173,7 @@
 "vm":{{"memory_mb":{}{}}},"metrics_address":"{}","table_service":{{"address":"{}"}},
 "peers":{{"address":"{}","gossip_address":"{}","seeds":[],"key":"key-of-caller-crowds"}}}})",
         m_callerAddress, m_readinessAddress, m_entryAddress, limits.memoryMegabytes,
-        limits.vmSettings, m_metricsAddress, standIns().table.address(), makeLoopbackAddress(),
+        limits.vmSettings, m_metricsAddress, tableAddress, makeLoopbackAddress(),
         makeLoopbackAddress());
     return file;
 }
--- a/Tests/CallerCrowds/DaemonProcess.h
+++ b/Tests/CallerCrowds/DaemonProcess.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <Support/ScriptedServer.h>
+
 #include <cstddef>
 #include <string>
 #include <sys/types.h>
@@ -19,14 +21,20 @@
 /// The addresses that callers reach.
 enum class CallerAddress { Requests, Readiness, Entry, Metrics };
 
-/// The built daemon, started as a process of its own. All of them use one stand-in of the table
-/// service and one backend server, which live until the program ends. Its routes "/unsafe/" and
-/// "/stream/" of the host "a.example" need no key.
+/// Returns a script of a table service whose tables hold the configuration of DaemonProcess and one
+/// server at `serverAddress`; nothing changes.
+ScriptedServer::Script makeTableScript(const std::string &serverAddress);
+
+/// The built daemon, started as a process of its own. Its routes "/unsafe/" and "/stream/" of the
+/// host "a.example" need no key.
 class DaemonProcess
 {
 public:
-    /// Starts the process and does not wait for it.
+    /// Starts the process and does not wait for it. All processes of this constructor use one
+    /// stand-in of the table service and one backend server, which live until the program ends.
     explicit DaemonProcess(const DaemonLimits &limits);
+    /// As above, with the table service at `tableAddress`.
+    DaemonProcess(const DaemonLimits &limits, const std::string &tableAddress);
     ~DaemonProcess();
 
     DaemonProcess(const DaemonProcess &) = delete;
@@ -48,7 +56,7 @@
     std::size_t openDescriptors() const;
 
 private:
-    std::string writeSettings(const DaemonLimits &limits) const;
+    std::string writeSettings(const DaemonLimits &limits, const std::string &tableAddress) const;
     void start(const DaemonLimits &limits);
 
     const std::string m_callerAddress;
--- a/Tests/Http/HeadParserTest.cpp
+++ b/Tests/Http/HeadParserTest.cpp
@@ -1,7 +1,10 @@
 #include <Carawaykeel/Http/HeadParser.h>
 #include <Carawaykeel/Http/HopByHopFields.h>
 
+#include <Support/BrokenResponses.h>
+
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/core.h>
 
 namespace Carawaykeel::Tests {
 
@@ -15,6 +18,14 @@
     return head ? std::move(*head) : nullptr;
 }
 
+Http::ResponseHead parseResponse(const std::string &statusLine, const std::string &fields = {})
+{
+    auto outcome = Base::toOutcome<Http::ResponseHead>(
+        [&] { return Http::tryParseResponseHead(statusLine + "\r\n" + fields + "\r\n"); });
+    auto *head = std::get_if<Http::ResponseHead>(&outcome);
+    return head ? std::move(*head) : nullptr;
+}
+
 } // namespace
 
 /// Heads that two parsers may interpret differently are rejected.
@@ -26,6 +37,9 @@
     CPPUNIT_TEST(longFieldIsKeptWhole);
     CPPUNIT_TEST(valuesAreKeptAsTheyAre);
     CPPUNIT_TEST(ambiguousHeadsAreRejected);
+    CPPUNIT_TEST(everyInvalidByteOfANameIsRejected);
+    CPPUNIT_TEST(validStatusIsAccepted);
+    CPPUNIT_TEST(invalidStatusIsRejected);
     CPPUNIT_TEST(hopByHopFieldsAreRemoved);
     CPPUNIT_TEST(framingFieldNamedInConnectionFieldIsKept);
     CPPUNIT_TEST_SUITE_END();
@@ -78,6 +92,44 @@
         }
     }
 
+    void everyInvalidByteOfANameIsRejected()
+    {
+        for (const char c : invalidNameBytes()) {
+            for (const auto &name : {std::string("X") + c + "Y", c + std::string("X-Y"),
+                     std::string("X-Y") + c, std::string("Content-Length") + c}) {
+                CPPUNIT_ASSERT_MESSAGE(name, !parse(name + ": 1\r\n"));
+                CPPUNIT_ASSERT_MESSAGE(name, !parseResponse("HTTP/1.1 200 OK", name + ": 1\r\n"));
+                CPPUNIT_ASSERT_MESSAGE(
+                    name, !parseResponse("HTTP/1.1 103 Early Hints", name + ": 1\r\n"));
+            }
+        }
+    }
+
+    void validStatusIsAccepted()
+    {
+        constexpr int MinStatus = 100;
+        constexpr int MaxStatus = 599;
+        for (int status = MinStatus; status <= MaxStatus; ++status) {
+            for (const auto *reason : {"", " ", " OK", " Not 000", "\tOK"}) {
+                const auto head = parseResponse(fmt::format("HTTP/1.1 {}{}", status, reason));
+                CPPUNIT_ASSERT(head);
+                CPPUNIT_ASSERT_EQUAL(status, static_cast<int>(head->getStatus()));
+            }
+        }
+    }
+
+    /// Guards against a status that is forwarded although no caller can interpret it, and against
+    /// a response that is read from the body of another, whose status counts as interim.
+    void invalidStatusIsRejected()
+    {
+        for (const auto &status : invalidStatusCodes()) {
+            CPPUNIT_ASSERT_MESSAGE(status, !parseResponse("HTTP/1.1 " + status + " OK"));
+            CPPUNIT_ASSERT_MESSAGE(status, !parseResponse("HTTP/1.1 " + status));
+        }
+        for (const auto *line : {"", "HTTP/1.1", "200", "200 OK", " HTTP/1.1 200 OK"})
+            CPPUNIT_ASSERT_MESSAGE(line, !parseResponse(line));
+    }
+
     void hopByHopFieldsAreRemoved()
     {
         auto head = parse("Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=5\r\n"
--- a/Tests/Support/ScriptedServer.cpp
+++ b/Tests/Support/ScriptedServer.cpp
@@ -15,6 +15,9 @@
 /// A waiting thread checks this often whether the server is being stopped.
 const Poco::Timespan PollInterval(0, 20'000);
 
+/// Keeps an upload that is not read in the sender's buffers.
+constexpr int SmallReceiveBuffer = 4'096;
+
 /// Reads the bytes that arrive within PollInterval, if any. Returns false if the peer has closed
 /// the connection.
 bool tryRead(Poco::Net::StreamSocket &connection, std::string &buf)
@@ -43,12 +46,16 @@
     return {};
 }
 
-ScriptedServer::ScriptedServer(Script script)
+ScriptedServer::ScriptedServer(Script script, Reading reading)
     : m_script(std::move(script))
+    , m_reading(reading)
     , m_socket(Poco::Net::SocketAddress("127.0.0.1", 0))
     , m_address(m_socket.address().toString())
-    , m_thread([this] { accept(); })
 {
+    // Connections inherit the buffer's size.
+    if (m_reading == Reading::HeadOnly)
+        m_socket.setReceiveBufferSize(SmallReceiveBuffer);
+    m_thread = std::thread([this] { accept(); });
 }
 
 ScriptedServer::~ScriptedServer()
@@ -84,6 +91,8 @@
         const auto end = buf.find("\r\n\r\n");
         if (end != std::string::npos) {
             request.head = buf.substr(0, end);
+            if (m_reading == Reading::HeadOnly)
+                return true;
             const auto length = request.field("Content-Length");
             const auto size = length.empty() ? 0 : std::stoul(length);
             if (buf.size() >= end + 4 + size) {
@@ -121,8 +130,7 @@
                     std::this_thread::sleep_for(std::chrono::milliseconds(1));
                 connection.setLinger(true, 0);
             }
-            if (response.then == ScriptedResponse::Then::Reset)
-                connection.setLinger(true, 0);
+            std::this_thread::sleep_for(response.pause);
             if (response.then == ScriptedResponse::Then::Hang) {
                 while (!m_isStopping && tryRead(connection, buf)) { }
                 m_peerCloseCount += m_isStopping ? 0 : 1;
@@ -135,11 +143,24 @@
                 std::this_thread::sleep_for(std::chrono::milliseconds(1));
             }
             if (response.then != ScriptedResponse::Then::Keep)
-                return connection.close();
+                return endConnection(connection, response);
         }
     } catch (const Poco::Exception &) {
         m_peerCloseCount += 1;
     }
 }
 
+void ScriptedServer::endConnection(
+    Poco::Net::StreamSocket &connection, const ScriptedResponse &response)
+{
+    using Then = ScriptedResponse::Then;
+    if (response.then == Then::HalfClose || response.then == Then::HalfCloseThenReset)
+        connection.shutdownSend();
+    if (response.then == Then::Reset || response.then == Then::HalfCloseThenReset)
+        connection.setLinger(true, 0);
+    while (response.then == Then::HalfClose && !m_isStopping
+        && !connection.poll(PollInterval, Poco::Net::Socket::SELECT_ERROR)) { }
+    connection.close();
+}
+
 } // namespace Carawaykeel::Tests
--- a/Tests/Support/ScriptedServer.h
+++ b/Tests/Support/ScriptedServer.h
@@ -3,6 +3,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -35,11 +36,17 @@
         Flood,
         /// Stops listening, then resets the connection. Later connections are refused.
         Crash,
+        /// Closes the sending side only, and reads no more.
+        HalfClose,
+        /// As HalfClose, then resets the connection.
+        HalfCloseThenReset,
     };
 
     std::string bytes;
     Then then = Then::Keep;
     std::string floodBytes = {};
+    /// Time between the bytes and what follows them.
+    std::chrono::milliseconds pause{0};
 };
 
 /// A backend server on a loopback socket whose responses are determined by a script.
@@ -49,7 +56,10 @@
     /// `number` is 1 for the first request that the server receives.
     using Script = std::function<ScriptedResponse(const ReceivedRequest &request, int number)>;
 
-    explicit ScriptedServer(Script script);
+    /// How much of a request the server reads before it responds.
+    enum class Reading { WholeRequest, HeadOnly };
+
+    explicit ScriptedServer(Script script, Reading reading = Reading::WholeRequest);
     ~ScriptedServer();
 
     std::string address() const { return m_address; }
@@ -62,8 +72,10 @@
     void accept();
     void serve(Poco::Net::StreamSocket connection);
     bool receive(Poco::Net::StreamSocket &connection, std::string &buf, ReceivedRequest &request);
+    void endConnection(Poco::Net::StreamSocket &connection, const ScriptedResponse &response);
 
     const Script m_script;
+    const Reading m_reading;
     Poco::Net::ServerSocket m_socket;
     const std::string m_address;
     mutable std::mutex m_mutex;
--- a/Tests/Transport/HttpClientTest.cpp
+++ b/Tests/Transport/HttpClientTest.cpp
@@ -1,6 +1,7 @@
 #include <Carawaykeel/Net/ReactorThread.h>
 #include <Carawaykeel/Transport/HttpClient.h>
 
+#include <Support/BrokenResponses.h>
 #include <Support/NeighbourInstance.h>
 #include <Support/ScriptedServer.h>
 
@@ -60,6 +61,10 @@
     CPPUNIT_TEST(callsShareOneConnectionInOrder);
     CPPUNIT_TEST(callAfterSilenceGetsItsOwnReply);
     CPPUNIT_TEST(brokenRepliesAreNoReplies);
+    CPPUNIT_TEST(invalidStatusIsNoReply);
+    CPPUNIT_TEST(invalidHeadsAreNoReplies);
+    CPPUNIT_TEST(invalidInterimHeadsAreNoReplies);
+    CPPUNIT_TEST(wholeRepliesWithoutLengthAreRead);
     CPPUNIT_TEST(extraBytesEndTheConnection);
     CPPUNIT_TEST(refusedConnectionFailsAtOnce);
     CPPUNIT_TEST(callsBeyondTheQueueFail);
@@ -110,6 +115,38 @@
             CPPUNIT_ASSERT_MESSAGE(responses[n].bytes, !client.call("/"));
     }
 
+    static void checkNoReplies(const std::vector<BrokenResponse> &responses)
+    {
+        ScriptedServer server([&](const ReceivedRequest &, int number) {
+            return ScriptedResponse{responses.at(number - 1).bytes};
+        });
+        ClientUnderTest client(server.address());
+        std::string names;
+        for (const auto &response : responses)
+            names += client.call("/") ? "\n" + response.name : "";
+        CPPUNIT_ASSERT_EQUAL(std::string(), names);
+        CPPUNIT_ASSERT_EQUAL(responses.size(), server.requests().size());
+    }
+
+    void invalidStatusIsNoReply() { checkNoReplies(responsesWithInvalidStatus({"", "{}"})); }
+    void invalidHeadsAreNoReplies() { checkNoReplies(responsesWithInvalidHead({"", "{}"})); }
+    void invalidInterimHeadsAreNoReplies()
+    {
+        checkNoReplies(responsesWithInvalidInterimHead({"", "{}"}));
+    }
+
+    void wholeRepliesWithoutLengthAreRead()
+    {
+        ScriptedServer server([](const ReceivedRequest &, int) {
+            return ScriptedResponse{"HTTP/1.1 200 OK\r\n\r\nwhole", Then::Close};
+        });
+        ClientUnderTest client(server.address());
+        for (const std::size_t bytes : {10, 100'000, 4'000'000}) {
+            const auto reply = client.start("/", std::string(bytes, 'u')).get();
+            CPPUNIT_ASSERT(reply && reply->body == "whole");
+        }
+    }
+
     void extraBytesEndTheConnection()
     {
         ScriptedServer server([](const ReceivedRequest &, int number) {
