Http: Reject bodies with invalid trailers

Callers saw: a complete answer with 200 for a chunked response whose trailers had a blank, a control byte or any other invalid byte in a field name, or a line that is no field at all.

Cause: the decoder of chunked bodies skipped every line between the last chunk and the empty line.

Change: these lines are checked by the rule for the fields of a head, which moves to FieldLine. A body with an invalid trailer is malformed, for responses, for replies of the table service and for requests.

--- a/Libraries/Carawaykeel/Http/BodyDecoder.cpp
+++ b/Libraries/Carawaykeel/Http/BodyDecoder.cpp
@@ -1,5 +1,7 @@
 #include <Carawaykeel/Http/BodyDecoder.h>
 
+#include <Carawaykeel/Http/FieldLine.h>
+
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
@@ -111,8 +113,11 @@
         }
         break;
     default:
-        if (m_line.empty())
+        if (m_line.empty()) {
             m_state = State::Complete;
+        } else if (!isFieldLine(m_line)) {
+            m_state = State::Malformed;
+        }
         break;
     }
     m_line.clear();
--- a/Libraries/Carawaykeel/Http/HeadParser.cpp
+++ b/Libraries/Carawaykeel/Http/HeadParser.cpp
@@ -1,5 +1,7 @@
 #include <Carawaykeel/Http/HeadParser.h>
 
+#include <Carawaykeel/Http/FieldLine.h>
+
 #include <Poco/Exception.h>
 #include <Poco/MemoryStream.h>
 #include <Poco/String.h>
@@ -18,20 +20,6 @@
 /// allocator's header.
 constexpr std::size_t FieldNodeBytes = 96;
 
-bool isTokenCharacter(char c)
-{
-    constexpr std::string_view Punctuation = "!#$%&'*+-.^_`|~";
-    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
-        || Punctuation.find(c) != std::string_view::npos;
-}
-
-bool isFieldLine(std::string_view line)
-{
-    const auto colon = line.find(':');
-    return colon != std::string_view::npos && colon > 0
-        && std::ranges::all_of(line.substr(0, colon), isTokenCharacter);
-}
-
 /// Returns true if every line ends with CRLF and has no other control character except tabs, and
 /// every line after the first is a field line.
 bool isWellFormed(std::string_view head)
@@ -40,10 +28,7 @@
     while (head.size() > LineEnd.size()) {
         const auto end = head.find(LineEnd);
         const auto line = head.substr(0, end);
-        const bool hasControlCharacter = std::ranges::any_of(line, [](char c) {
-            return (static_cast<unsigned char>(c) < ' ' && c != '\t') || c == '\x7f';
-        });
-        if (hasControlCharacter || (!isFirst && !isFieldLine(line)))
+        if (isFirst ? hasControlCharacter(line) : !isFieldLine(line))
             return false;
         isFirst = false;
         head.remove_prefix(end + LineEnd.size());
--- a/Tests/BrokenResponses/RouterResponsesTest.cpp
+++ b/Tests/BrokenResponses/RouterResponsesTest.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(invalidStatusIsRefused);
     CPPUNIT_TEST(invalidNamesInHeadsAreRefused);
     CPPUNIT_TEST(invalidNamesInInterimHeadsAreRefused);
+    CPPUNIT_TEST(invalidNamesInTrailersAreRefused);
     CPPUNIT_TEST(wholeResponsesWithoutLengthAreServed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -122,6 +123,7 @@
     void invalidStatusIsRefused() { checkRefused(responsesWithInvalidStatus); }
     void invalidNamesInHeadsAreRefused() { checkRefused(responsesWithInvalidHead); }
     void invalidNamesInInterimHeadsAreRefused() { checkRefused(responsesWithInvalidInterimHead); }
+    void invalidNamesInTrailersAreRefused() { checkRefused(responsesWithInvalidTrailer); }
 
     /// A response without a length is whole if the server has read the request and closes in an
     /// orderly way, and is not if it resets.
--- a/Tests/Http/BodyDecoderTest.cpp
+++ b/Tests/Http/BodyDecoderTest.cpp
@@ -1,6 +1,8 @@
 #include <Carawaykeel/Http/BodyDecoder.h>
 #include <Carawaykeel/Http/HeadParser.h>
 
+#include <Support/BrokenResponses.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace Carawaykeel::Tests {
@@ -14,6 +16,15 @@
     return Http::BodyDecoder::forResponse(*std::get<Http::ResponseHead>(outcome), method);
 }
 
+/// Decodes a chunked body with the trailers, each of which ends with CR LF.
+Http::BodyDecoder decodeTrailers(const std::string &trailers)
+{
+    auto body = responseBody("Transfer-Encoding: chunked\r\n");
+    std::string out;
+    body.decode("3\r\nabc\r\n0\r\n" + trailers + "\r\n", out);
+    return body;
+}
+
 } // namespace
 
 /// A body is decoded exactly, however its bytes are split.
@@ -23,6 +34,8 @@
     CPPUNIT_TEST(bodyEndsAtContentLength);
     CPPUNIT_TEST(chunksAreDecodedAtEverySplit);
     CPPUNIT_TEST(malformedChunksAreRejected);
+    CPPUNIT_TEST(trailersAreSkipped);
+    CPPUNIT_TEST(malformedTrailersAreRejected);
     CPPUNIT_TEST(unframedBodyEndsOnlyWithConnection);
     CPPUNIT_TEST(truncatedBodyIsMalformed);
     CPPUNIT_TEST(responseToHeadRequestHasNoBody);
@@ -64,6 +77,28 @@
         }
     }
 
+    void trailersAreSkipped()
+    {
+        for (const auto *trailers : {"X-Y: v\r\n", "x:\r\nZ!#$%&'*+-.^_`|~: a\tb \xe4\r\n"}) {
+            CPPUNIT_ASSERT_MESSAGE(trailers, decodeTrailers(trailers).isComplete());
+        }
+    }
+
+    /// Guards against a response that passes as complete although its trailers are invalid.
+    void malformedTrailersAreRejected()
+    {
+        for (const char c : invalidNameBytes()) {
+            for (const auto &name :
+                {std::string("X") + c + "Y", c + std::string("X-Y"), std::string("X-Y") + c}) {
+                CPPUNIT_ASSERT_MESSAGE(name, decodeTrailers(name + ": v\r\n").isMalformed());
+                CPPUNIT_ASSERT_MESSAGE(
+                    name, decodeTrailers("A: b\r\n" + name + ": v\r\n").isMalformed());
+            }
+        }
+        for (const auto *trailers : {": v\r\n", "no colon\r\n", "X: a\x01z\r\n", "X: a\rz\r\n"})
+            CPPUNIT_ASSERT_MESSAGE(trailers, decodeTrailers(trailers).isMalformed());
+    }
+
     void unframedBodyEndsOnlyWithConnection()
     {
         auto body = responseBody("");
--- a/Tests/Transport/HttpClientTest.cpp
+++ b/Tests/Transport/HttpClientTest.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(invalidStatusIsNoReply);
     CPPUNIT_TEST(invalidHeadsAreNoReplies);
     CPPUNIT_TEST(invalidInterimHeadsAreNoReplies);
+    CPPUNIT_TEST(invalidTrailersAreNoReplies);
     CPPUNIT_TEST(wholeRepliesWithoutLengthAreRead);
     CPPUNIT_TEST(extraBytesEndTheConnection);
     CPPUNIT_TEST(refusedConnectionFailsAtOnce);
@@ -134,6 +135,7 @@
     {
         checkNoReplies(responsesWithInvalidInterimHead({"", "{}"}));
     }
+    void invalidTrailersAreNoReplies() { checkNoReplies(responsesWithInvalidTrailer({"", "{}"})); }
 
     void wholeRepliesWithoutLengthAreRead()
     {
