Ingress: Take no early end of a connection for the end of a response

Callers saw: a part of a response as a complete answer, when a server answered an upload at once without a length and closed its sending side, or closed it and then reset, while the upload was still being sent.

Cause: such a response ends with its connection, and a read reports the same end of the stream for a connection that was closed in order, for one that was closed and then reset, and after a failed write for one that was reset. Nothing asked whether the request had been received.

Change: BufferedSocket::isOrderlyEnd() is false if a write has failed, bytes are unsent or not acknowledged, or the socket has a pending error. A response without a length is then incomplete.

Evidence: on the code before, RouterResponsesTest::partsOfEarlyResponsesAreRefusals and ::partsOfEarlyStreamsAreNotComplete failed with an upload of 300,000 bytes for a half-close after 0 and 100 ms and for a half-close and reset after 100 ms (200 to the caller). All 24 orders and framings pass now with 300,000 to 4,000,000 bytes. wholeResponsesWithoutLengthAreServed passed before and passes: a response without a length to a request that was read is served.

Already handled, tests kept: a reset or a full close before the upload's end, and all ends of responses with a length or in chunks.

--- a/Libraries/Carawaykeel/Ingress/ServerConnection.cpp
+++ b/Libraries/Carawaykeel/Ingress/ServerConnection.cpp
@@ -158,7 +158,8 @@
             return close();
         return parse();
     }
-    onDisconnected(outcome == Net::ReadOutcome::EndOfStream);
+    // A response without a length that ends before its request was received may be a part of one.
+    onDisconnected(outcome == Net::ReadOutcome::EndOfStream && m_socket->isOrderlyEnd());
 }
 
 void ServerConnection::parse()
--- a/Libraries/Carawaykeel/Net/BufferedSocket.cpp
+++ b/Libraries/Carawaykeel/Net/BufferedSocket.cpp
@@ -1,5 +1,7 @@
 #include <Carawaykeel/Net/BufferedSocket.h>
 
+#include <Carawaykeel/Net/PeerState.h>
+
 #include <Poco/Exception.h>
 #include <algorithm>
 #include <array>
@@ -128,12 +130,19 @@
             sent += static_cast<std::size_t>(n);
         }
     } catch (const Poco::Exception &ex) {
-        if (!isWouldBlock(ex))
+        if (!isWouldBlock(ex)) {
+            m_hasSendFailed = true;
             throw;
+        }
     }
     return sent;
 }
 
+bool BufferedSocket::isOrderlyEnd() const
+{
+    return !m_hasSendFailed && unsentBytes() == 0 && hasReceivedAll(m_socket);
+}
+
 bool BufferedSocket::flush()
 {
     if (!m_isOpen)
--- a/Libraries/Carawaykeel/Net/BufferedSocket.h
+++ b/Libraries/Carawaykeel/Net/BufferedSocket.h
@@ -49,6 +49,11 @@
     /// Number of bytes that are buffered for sending.
     std::size_t unsentBytes() const { return m_sendBuffer.size() - m_sentBytes; }
 
+    /// Returns true if the peer has received all bytes that were sent, and the connection has not
+    /// failed. Call after the end of the stream: the peer may have closed its side early, or reset
+    /// the connection after that, which a read does not report.
+    bool isOrderlyEnd() const;
+
     /// Number of bytes that the send buffer occupies.
     std::size_t bufferedBytes() const { return m_sendBuffer.capacity(); }
 
@@ -77,6 +82,8 @@
     bool m_isReading = true;
     bool m_isConnecting = false;
     bool m_isOpen = true;
+    /// A failure is reported to one call only, and a later read may report an orderly end.
+    bool m_hasSendFailed = false;
 };
 
 } // namespace Carawaykeel::Net
--- a/Tests/BrokenResponses/RouterResponsesTest.cpp
+++ b/Tests/BrokenResponses/RouterResponsesTest.cpp
@@ -70,6 +70,8 @@
     CPPUNIT_TEST(invalidNamesInHeadsAreRefused);
     CPPUNIT_TEST(invalidNamesInInterimHeadsAreRefused);
     CPPUNIT_TEST(invalidNamesInTrailersAreRefused);
+    CPPUNIT_TEST(partsOfEarlyResponsesAreRefusals);
+    CPPUNIT_TEST(partsOfEarlyStreamsAreNotComplete);
     CPPUNIT_TEST(wholeResponsesWithoutLengthAreServed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -111,6 +113,37 @@
         return names;
     }
 
+    /// Sends an upload for each early response to `route`. Returns the names of those that the
+    /// caller received as a complete answer.
+    static std::string unrefusedParts(const std::string &route, std::size_t uploadBytes)
+    {
+        const auto cases = partsOfEarlyResponses({});
+        ScriptedServer server(
+            [](const ReceivedRequest &request, int) {
+                return partsOfEarlyResponses({fieldsFor(request), ServerBody})
+                    .at(caseOf(request))
+                    .response;
+            },
+            ScriptedServer::Reading::HeadOnly);
+        ScriptedServer table(makeTableScript(server.address()));
+        DaemonProcess daemon(roomForUploads(), table.address());
+        waitForStatus(daemon, "/unsafe/8", "502");
+        std::string names;
+        const std::string upload(uploadBytes, 'u');
+        for (std::size_t n = 0; n < cases.size(); ++n) {
+            const auto before = server.requests().size();
+            const auto received = callOnWire(daemon.address(CallerAddress::Requests),
+                requestTo(fmt::format("/{}/{}", route, n), upload));
+            const bool isAnswer = received.status() == "200" && !received.isReset
+                && (route == "unsafe" || received.bytes.ends_with("\r\n0\r\n\r\n"));
+            if (isAnswer || received.isOpen || server.requests().size() != before + 1) {
+                names += fmt::format(
+                    "\n{}, {} bytes: {}", cases[n].name, uploadBytes, received.bytes.substr(0, 16));
+            }
+        }
+        return names;
+    }
+
     static void checkRefused(Catalog catalog)
     {
         CPPUNIT_ASSERT_EQUAL(std::string(), unrefused("unsafe", catalog));
@@ -125,6 +158,20 @@
     void invalidNamesInInterimHeadsAreRefused() { checkRefused(responsesWithInvalidInterimHead); }
     void invalidNamesInTrailersAreRefused() { checkRefused(responsesWithInvalidTrailer); }
 
+    /// Guards against a part of a response that a caller gets as a complete answer: the server
+    /// ends the connection while the request is still being sent.
+    void partsOfEarlyResponsesAreRefusals()
+    {
+        for (const std::size_t bytes : {300'000, 1'000'000, 4'000'000})
+            CPPUNIT_ASSERT_EQUAL(std::string(), unrefusedParts("unsafe", bytes));
+    }
+
+    void partsOfEarlyStreamsAreNotComplete()
+    {
+        for (const std::size_t bytes : {300'000, 4'000'000})
+            CPPUNIT_ASSERT_EQUAL(std::string(), unrefusedParts("stream", bytes));
+    }
+
     /// A response without a length is whole if the server has read the request and closes in an
     /// orderly way, and is not if it resets.
     void wholeResponsesWithoutLengthAreServed()
