Transport: Take no early end of a connection for the end of a reply

Operators and callers could see the effect of a part of a reply of the table service: one without a length passed as complete when the service closed its sending side before it had received the call.

Cause: as in ServerConnection, the end of the stream was taken for an orderly end.

Change: HttpClient asks BufferedSocket::isOrderlyEnd().

Evidence: HttpClientTest::partsOfEarlyRepliesAreNoReplies failed on the code before (half-closes of replies without a length) and passes with calls of 100,000 to 4,000,000 bytes in all orders and framings; wholeRepliesWithoutLengthAreRead passed before and passes.

--- a/Libraries/Carawaykeel/Transport/HttpClient.cpp
+++ b/Libraries/Carawaykeel/Transport/HttpClient.cpp
@@ -126,7 +126,9 @@
         m_activeAt = m_reactor.now();
         return parse();
     }
-    if (outcome == Net::ReadOutcome::EndOfStream && m_bodyDecoder) {
+    const bool isOrderly = outcome == Net::ReadOutcome::EndOfStream && m_socket->isOrderlyEnd();
+    // A reply without a length that ends before its call was received may be a part of one.
+    if (isOrderly && m_bodyDecoder) {
         m_bodyDecoder->onConnectionClosed();
         m_closesAfterReply = true;
         if (m_bodyDecoder->isComplete())
--- a/Tests/Transport/HttpClientTest.cpp
+++ b/Tests/Transport/HttpClientTest.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(invalidHeadsAreNoReplies);
     CPPUNIT_TEST(invalidInterimHeadsAreNoReplies);
     CPPUNIT_TEST(invalidTrailersAreNoReplies);
+    CPPUNIT_TEST(partsOfEarlyRepliesAreNoReplies);
     CPPUNIT_TEST(wholeRepliesWithoutLengthAreRead);
     CPPUNIT_TEST(extraBytesEndTheConnection);
     CPPUNIT_TEST(refusedConnectionFailsAtOnce);
@@ -137,6 +138,26 @@
     }
     void invalidTrailersAreNoReplies() { checkNoReplies(responsesWithInvalidTrailer({"", "{}"})); }
 
+    /// Guards against a part of a reply that passes as a whole one: the service ends the connection
+    /// before it has received the call.
+    void partsOfEarlyRepliesAreNoReplies()
+    {
+        const auto responses = partsOfEarlyResponses({"", "{}"});
+        for (const std::size_t bytes : {100'000, 1'000'000, 4'000'000}) {
+            ScriptedServer server([&](const ReceivedRequest &,
+                                      int number) { return responses.at(number - 1).response; },
+                ScriptedServer::Reading::HeadOnly);
+            ClientUnderTest client(server.address());
+            std::string names;
+            for (const auto &response : responses) {
+                const auto reply = client.start("/", std::string(bytes, 'u')).get();
+                names += reply ? "\n" + response.name : "";
+            }
+            CPPUNIT_ASSERT_EQUAL(std::string(), names);
+            CPPUNIT_ASSERT_EQUAL(responses.size(), server.requests().size());
+        }
+    }
+
     void wholeRepliesWithoutLengthAreRead()
     {
         ScriptedServer server([](const ReceivedRequest &, int) {
