Adapters: Read the responses of backend servers with the strict parser

Callers of the product's own interface saw: a status of 0, 20 or 999 as the answer's; answers whose head or trailers had a field name with any invalid byte, with the body that a lenient reader makes of it; a whole stream with such trailers; an interim response other than 100 read as the final one.

Cause: BackendClient read with the library's session. It parses any number as a status, takes any byte into a name, skips trailers unread, and ends a body that broke off like a complete one.

Change: ClientConnection, a blocking connection that uses the parser and the decoder of the event loop; BackendClient sends and reads through it. A stream whose trailers are invalid ends with an error in the place of its end marker. A chunked body is complete with its last chunk; that was guessed from the state of the socket before.

Already handled, tests kept: parts of early responses (a response without a length was never accepted here), and invalid names in interim heads.

--- a/Libraries/Carawaykeel/Adapters/BackendClient.cpp
+++ b/Libraries/Carawaykeel/Adapters/BackendClient.cpp
@@ -3,9 +3,6 @@
 #include <Poco/Exception.h>
 #include <Poco/JSON/Parser.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/NetException.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/Timespan.h>
 #include <Poco/URI.h>
 #include <algorithm>
 #include <array>
@@ -15,35 +12,12 @@
 
 namespace {
 
-constexpr int MicrosecondsPerMillisecond = 1'000;
 /// Closes idle connections before the server's idle timeout can race with a new request.
 constexpr std::chrono::seconds MaxIdleTime{3};
 constexpr std::size_t MaxIdlePerServer = 64;
 constexpr std::size_t MaxAttemptResponseSize = 4'096;
 const std::string AttemptIdField = "X-Attempt-Id";
 
-Poco::Timespan toTimespan(Base::Milliseconds time)
-{
-    return {time.count() * MicrosecondsPerMillisecond};
-}
-
-/// Connects in a separate step before sending, so that after a failed connect it is certain that
-/// the server received no bytes.
-class BackendSession : public Poco::Net::HTTPClientSession
-{
-public:
-    void open(const std::string &address, const LimitSettings &limits)
-    {
-        const Poco::Net::SocketAddress peer(address);
-        setHost(peer.host().toString());
-        setPort(peer.port());
-        setKeepAlive(true);
-        setTimeout(toTimespan(limits.connectTimeout), toTimespan(limits.backendTimeout),
-            toTimespan(limits.backendTimeout));
-        connect(peer);
-    }
-};
-
 Base::ErrorKind errorKindOf(const Poco::Exception &ex)
 {
     const bool isTimeout = dynamic_cast<const Poco::TimeoutException *>(&ex) != nullptr;
@@ -52,78 +26,50 @@
 
 } // namespace
 
-BackendExchange::BackendExchange(BackendClient &client, std::string address,
-    std::unique_ptr<Poco::Net::HTTPClientSession> session)
+BackendExchange::BackendExchange(
+    BackendClient &client, std::string address, std::unique_ptr<ClientConnection> connection)
     : m_client(client)
     , m_address(std::move(address))
-    , m_session(std::move(session))
+    , m_connection(std::move(connection))
 {
 }
 
 Base::Result<void> BackendExchange::tryReadHead(const Base::AttemptId &attempt)
 {
     try {
-        m_body = &m_session->receiveResponse(m_response);
+        m_head = m_connection->readHead();
     } catch (const Poco::Exception &ex) {
         return Base::fail(errorKindOf(ex), "the server gave no answer: " + ex.displayText());
     }
-    const auto &echo = m_response.get(AttemptIdField, attempt.text());
+    const auto &echo = response().get(AttemptIdField, attempt.text());
     if (echo != attempt.text())
         return Base::fail(Base::ErrorKind::ResponseMismatch, "the server answered another request");
     return {};
 }
 
-bool BackendExchange::isBodyComplete(std::size_t length)
-{
-    const auto status = m_response.getStatus();
-    const bool hasNoBody = status == Poco::Net::HTTPResponse::HTTP_NO_CONTENT
-        || status == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
-    if (hasNoBody)
-        return true;
-    if (m_response.hasContentLength())
-        return static_cast<std::size_t>(m_response.getContentLength64()) == length;
-    if (!m_response.getChunkedTransferEncoding())
-        return false;
-    // NOTE: Poco ends the stream of a chunked body the same way after the last chunk and after a
-    // lost connection. In the second case a connection that should stay open is readable, because
-    // its end has been received.
-    auto &socket = m_session->socket();
-    return m_response.getKeepAlive()
-        && !socket.poll(Poco::Timespan(), Poco::Net::Socket::SELECT_READ);
-}
-
 Base::Result<std::string> BackendExchange::tryReadResponseBody(std::size_t limit)
 {
     constexpr std::size_t ChunkSize = 16'384;
-    std::string body;
+    std::string content;
     std::array<char, ChunkSize> buf;
-    try {
-        while (m_body->read(buf.data(), buf.size()) || m_body->gcount() > 0) {
-            body.append(buf.data(), static_cast<std::size_t>(m_body->gcount()));
-            if (body.size() > limit) {
-                return Base::fail(
-                    Base::ErrorKind::ResponseIncomplete, "the answer is longer than the limit");
-            }
-        }
-        if (const auto *ex = m_session->networkException()) {
-            return Base::fail(
-                Base::ErrorKind::ResponseIncomplete, "the answer broke off: " + ex->displayText());
-        }
-        if (!isBodyComplete(body.size())) {
+    while (body().read(buf.data(), buf.size()) || body().gcount() > 0) {
+        content.append(buf.data(), static_cast<std::size_t>(body().gcount()));
+        if (content.size() > limit) {
             return Base::fail(
-                Base::ErrorKind::ResponseIncomplete, "the answer is shorter than announced");
+                Base::ErrorKind::ResponseIncomplete, "the answer is longer than the limit");
         }
-    } catch (const Poco::Exception &ex) {
-        return Base::fail(
-            Base::ErrorKind::ResponseIncomplete, "the answer broke off: " + ex.displayText());
     }
-    return body;
+    if (!m_connection->hasBodyLength())
+        return Base::fail(Base::ErrorKind::ResponseIncomplete, "the answer has no length");
+    if (!m_connection->isBodyComplete())
+        return Base::fail(Base::ErrorKind::ResponseIncomplete, "the answer broke off");
+    return content;
 }
 
 void BackendExchange::finish()
 {
-    if (m_response.getKeepAlive())
-        m_client.releaseConnection(m_address, std::move(m_session));
+    if (m_connection->isReusable())
+        m_client.releaseConnection(m_address, std::move(m_connection));
 }
 
 BackendClient::BackendClient(const LimitSettings &limits)
@@ -131,8 +77,7 @@
 {
 }
 
-std::unique_ptr<Poco::Net::HTTPClientSession> BackendClient::takeIdleConnection(
-    const std::string &address)
+std::unique_ptr<ClientConnection> BackendClient::takeIdleConnection(const std::string &address)
 {
     const std::lock_guard lock(m_mutex);
     auto &idle = m_idle[address];
@@ -140,31 +85,27 @@
     while (!idle.empty()) {
         auto candidate = std::move(idle.back());
         idle.pop_back();
-        // An idle connection that is readable was closed by the server or holds a late response.
-        const bool isUsable =
-            !candidate.session->socket().poll(Poco::Timespan(), Poco::Net::Socket::SELECT_READ);
-        if (isUsable && now - candidate.idleSince < MaxIdleTime)
-            return std::move(candidate.session);
+        if (candidate.connection->isReusable() && now - candidate.idleSince < MaxIdleTime)
+            return std::move(candidate.connection);
     }
     return nullptr;
 }
 
 void BackendClient::releaseConnection(
-    const std::string &address, std::unique_ptr<Poco::Net::HTTPClientSession> session)
+    const std::string &address, std::unique_ptr<ClientConnection> connection)
 {
     const std::lock_guard lock(m_mutex);
     auto &idle = m_idle[address];
     if (idle.size() < MaxIdlePerServer)
-        idle.push_back({std::move(session), std::chrono::steady_clock::now()});
+        idle.push_back({std::move(connection), std::chrono::steady_clock::now()});
 }
 
-Base::Result<std::unique_ptr<Poco::Net::HTTPClientSession>> BackendClient::tryConnect(
+Base::Result<std::unique_ptr<ClientConnection>> BackendClient::tryConnect(
     const std::string &address)
 {
     try {
-        auto session = std::make_unique<BackendSession>();
-        session->open(address, m_limits);
-        return std::unique_ptr<Poco::Net::HTTPClientSession>(std::move(session));
+        return std::make_unique<ClientConnection>(
+            address, m_limits.connectTimeout, m_limits.backendTimeout);
     } catch (const Poco::Exception &ex) {
         return Base::fail(
             Base::ErrorKind::ServerRefused, "the server cannot be reached: " + ex.displayText());
@@ -174,27 +115,20 @@
 Base::Result<std::unique_ptr<BackendExchange>> BackendClient::trySend(
     const BackendRequest &backendRequest)
 {
-    auto session =
+    auto connection =
         backendRequest.canReuseConnection ? takeIdleConnection(backendRequest.address) : nullptr;
-    if (!session) {
+    if (!connection) {
         BOOST_LEAF_AUTO(fresh, tryConnect(backendRequest.address));
-        session = std::move(fresh);
-    }
-    try {
-        Poco::Net::HTTPRequest request(
-            backendRequest.method, backendRequest.path, Poco::Net::HTTPMessage::HTTP_1_1);
-        for (const auto &field : backendRequest.fields)
-            request.set(field.name, field.value);
-        request.set(AttemptIdField, backendRequest.attempt.text());
-        request.setContentLength64(static_cast<Poco::Int64>(backendRequest.body.size()));
-        auto &stream = session->sendRequest(request);
-        stream << backendRequest.body << std::flush;
-    } catch (const Poco::Exception &ex) {
-        return Base::fail(
-            errorKindOf(ex), "the request could not be sent whole: " + ex.displayText());
+        connection = std::move(fresh);
     }
+    Poco::Net::HTTPRequest request(
+        backendRequest.method, backendRequest.path, Poco::Net::HTTPMessage::HTTP_1_1);
+    for (const auto &field : backendRequest.fields)
+        request.set(field.name, field.value);
+    request.set(AttemptIdField, backendRequest.attempt.text());
+    connection->sendRequest(request, backendRequest.body);
     auto exchange =
-        std::make_unique<BackendExchange>(*this, backendRequest.address, std::move(session));
+        std::make_unique<BackendExchange>(*this, backendRequest.address, std::move(connection));
     BOOST_LEAF_CHECK(exchange->tryReadHead(backendRequest.attempt));
     return exchange;
 }
--- a/Libraries/Carawaykeel/Adapters/BackendClient.h
+++ b/Libraries/Carawaykeel/Adapters/BackendClient.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include <Carawaykeel/Adapters/ClientConnection.h>
 #include <Carawaykeel/Adapters/DaemonSettings.h>
 #include <Carawaykeel/Adapters/HeaderField.h>
 #include <Carawaykeel/Base/Result.h>
 #include <Carawaykeel/Base/Tokens.h>
 #include <Carawaykeel/Budget/AttemptLookup.h>
 
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <chrono>
 #include <istream>
@@ -38,31 +38,31 @@
 class BackendExchange
 {
 public:
-    BackendExchange(BackendClient &client, std::string address,
-        std::unique_ptr<Poco::Net::HTTPClientSession> session);
+    BackendExchange(
+        BackendClient &client, std::string address, std::unique_ptr<ClientConnection> connection);
 
     /// Reads the head of the response. Fails with ServerFailed, ServerTimeout or ResponseMismatch.
     Base::Result<void> tryReadHead(const Base::AttemptId &attempt);
 
-    int status() const { return static_cast<int>(m_response.getStatus()); }
-    const Poco::Net::HTTPResponse &response() const { return m_response; }
-    std::istream &body() { return *m_body; }
+    int status() const { return static_cast<int>(response().getStatus()); }
+    const Poco::Net::HTTPResponse &response() const { return *m_head; }
+    std::istream &body() { return m_connection->body(); }
+    /// True if the body that was read so far cannot be that of a response.
+    bool isBodyMalformed() const { return m_connection->isBodyMalformed(); }
 
     /// Reads the complete body. Fails with ResponseIncomplete if the body is truncated, has no
     /// defined end or exceeds the limit.
     Base::Result<std::string> tryReadResponseBody(std::size_t limit);
 
-    /// Returns the connection to the client for reuse, after the complete response was read.
+    /// Returns the connection to the client for reuse, after the complete response was read. Only
+    /// its head can be accessed afterwards.
     void finish();
 
 private:
-    bool isBodyComplete(std::size_t length);
-
     BackendClient &m_client;
     const std::string m_address;
-    std::unique_ptr<Poco::Net::HTTPClientSession> m_session;
-    Poco::Net::HTTPResponse m_response;
-    std::istream *m_body = nullptr;
+    std::unique_ptr<ClientConnection> m_connection;
+    Http::ResponseHead m_head;
 };
 
 /// HTTP connections to backend servers. Each connection carries one exchange at a time.
@@ -82,18 +82,17 @@
 
     /// Keeps the connection of a finished exchange for reuse.
     void releaseConnection(
-        const std::string &address, std::unique_ptr<Poco::Net::HTTPClientSession> session);
+        const std::string &address, std::unique_ptr<ClientConnection> connection);
 
 private:
     struct IdleConnection
     {
-        std::unique_ptr<Poco::Net::HTTPClientSession> session;
+        std::unique_ptr<ClientConnection> connection;
         std::chrono::steady_clock::time_point idleSince;
     };
 
-    std::unique_ptr<Poco::Net::HTTPClientSession> takeIdleConnection(const std::string &address);
-    Base::Result<std::unique_ptr<Poco::Net::HTTPClientSession>> tryConnect(
-        const std::string &address);
+    std::unique_ptr<ClientConnection> takeIdleConnection(const std::string &address);
+    Base::Result<std::unique_ptr<ClientConnection>> tryConnect(const std::string &address);
 
     const LimitSettings m_limits;
     std::mutex m_mutex;
--- a/Libraries/Carawaykeel/Adapters/ChatHandler.cpp
+++ b/Libraries/Carawaykeel/Adapters/ChatHandler.cpp
@@ -160,8 +160,12 @@
     EventStreamRelay relay(
         dispatched.exchange->body(), stream, limit, chat.includeUsage, MaxStoredBodySize);
     auto result = relay.run();
-    if (result.outcome == RelayOutcome::Complete
-        && dispatched.exchange->body().peek() == std::char_traits<char>::eof()) {
+    const bool hasEnded = result.outcome == RelayOutcome::Complete
+        && dispatched.exchange->body().peek() == std::char_traits<char>::eof();
+    // What follows the end marker may show that the response is invalid.
+    if (hasEnded && dispatched.exchange->isBodyMalformed())
+        result.outcome = RelayOutcome::Truncated;
+    if (hasEnded) {
         dispatched.exchange->finish();
     } else {
         dispatched.exchange.reset();
--- a/Tests/Adapters/BackendClientTest.cpp
+++ b/Tests/Adapters/BackendClientTest.cpp
@@ -1,5 +1,8 @@
 #include <Carawaykeel/Adapters/BackendClient.h>
 
+#include <Support/BrokenResponses.h>
+#include <Support/ScriptedServer.h>
+
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
@@ -42,17 +45,22 @@
     std::thread m_thread;
 };
 
+Base::Outcome<std::string> send(
+    Adapters::BackendClient &client, const Adapters::BackendRequest &request)
+{
+    return Base::toOutcome<std::string>([&]() -> Base::Result<std::string> {
+        BOOST_LEAF_AUTO(exchange, client.trySend(request));
+        return exchange->tryReadResponseBody(1'000);
+    });
+}
+
 Base::Outcome<std::string> fetch(const std::string &response, bool closesConnection)
 {
     Adapters::LimitSettings limits;
     limits.backendTimeout = Base::Milliseconds(300);
     CannedServer server(response, closesConnection);
     Adapters::BackendClient client(limits);
-    return Base::toOutcome<std::string>([&]() -> Base::Result<std::string> {
-        BOOST_LEAF_AUTO(exchange,
-            client.trySend({server.address(), "GET", "/", {}, "", Base::AttemptId("mine"), true}));
-        return exchange->tryReadResponseBody(1'000);
-    });
+    return send(client, {server.address(), "GET", "/", {}, "", Base::AttemptId("mine"), true});
 }
 
 Base::ErrorKind errorKindOf(const Base::Outcome<std::string> &outcome)
@@ -75,6 +83,12 @@
     CPPUNIT_TEST(missingResponseIsATimeout);
     CPPUNIT_TEST(responseOverTheLimitIsIncomplete);
     CPPUNIT_TEST(connectFailureIsServerRefused);
+    CPPUNIT_TEST(invalidStatusIsNoResponse);
+    CPPUNIT_TEST(invalidHeadsAreNoResponses);
+    CPPUNIT_TEST(invalidInterimHeadsAreNoResponses);
+    CPPUNIT_TEST(invalidTrailersAreNoResponses);
+    CPPUNIT_TEST(partsOfEarlyResponsesAreIncomplete);
+    CPPUNIT_TEST(interimResponsesAreSkipped);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -149,6 +163,61 @@
         });
         CPPUNIT_ASSERT(errorKindOf(outcome) == Base::ErrorKind::ServerRefused);
     }
+
+    void invalidStatusIsNoResponse() { checkNoResponses(responsesWithInvalidStatus({"", "abc"})); }
+    void invalidHeadsAreNoResponses() { checkNoResponses(responsesWithInvalidHead({"", "abc"})); }
+    void invalidInterimHeadsAreNoResponses()
+    {
+        checkNoResponses(responsesWithInvalidInterimHead({"", "abc"}));
+    }
+    void invalidTrailersAreNoResponses()
+    {
+        checkNoResponses(responsesWithInvalidTrailer({"", "abc"}));
+    }
+
+    static void checkNoResponses(const std::vector<BrokenResponse> &responses)
+    {
+        ScriptedServer server([&](const ReceivedRequest &, int number) {
+            return ScriptedResponse{responses.at(number - 1).bytes};
+        });
+        Adapters::LimitSettings limits;
+        limits.backendTimeout = Base::Milliseconds(300);
+        Adapters::BackendClient client(limits);
+        std::string names;
+        for (const auto &response : responses) {
+            const auto outcome = send(client, {server.address(), "GET", "/", {}, "", {}, true});
+            names += std::holds_alternative<std::string>(outcome) ? "\n" + response.name : "";
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), names);
+        CPPUNIT_ASSERT_EQUAL(responses.size(), server.requests().size());
+    }
+
+    void partsOfEarlyResponsesAreIncomplete()
+    {
+        const auto responses = partsOfEarlyResponses({"", "abc"});
+        ScriptedServer server(
+            [&](const ReceivedRequest &, int number) { return responses.at(number - 1).response; },
+            ScriptedServer::Reading::HeadOnly);
+        Adapters::LimitSettings limits;
+        limits.backendTimeout = Base::Milliseconds(300);
+        Adapters::BackendClient client(limits);
+        std::string names;
+        for (const auto &response : responses) {
+            const auto outcome = send(client,
+                {server.address(), "POST", "/", {}, std::string(4'000'000, 'u'), {}, false});
+            names += std::holds_alternative<std::string>(outcome) ? "\n" + response.name : "";
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), names);
+    }
+
+    void interimResponsesAreSkipped()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("abc"),
+            std::get<std::string>(fetch("HTTP/1.1 100 Continue\r\n\r\n"
+                                        "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+                                        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+                false)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BackendClientTest);
