Adapters: Read the replies of the platform with the strict parser

Operators saw: a declaration reported as applied although the platform's reply to its commit was invalid or had broken off.

Cause: HttpSession read with the library's session, as BackendClient did, and checked only the length of replies that have one.

Change: it uses ClientConnection, and a reply counts only if its body is complete.

Evidence: on the code before, five of the seven tests of HttpSessionTest failed, with invalid status codes, names in heads, interim heads and trailers, and truncated replies; ControlToolTest::brokenRepliesOfThePlatformAreNoCommits failed: the tool exited with 0 in the place of 4. They pass now.

--- a/Libraries/Carawaykeel/Adapters/HttpSession.cpp
+++ b/Libraries/Carawaykeel/Adapters/HttpSession.cpp
@@ -1,20 +1,11 @@
 #include <Carawaykeel/Adapters/HttpSession.h>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/SocketAddress.h>
 #include <Poco/StreamCopier.h>
-#include <Poco/Timespan.h>
 #include <utility>
 
 namespace Carawaykeel::Adapters {
 
-namespace {
-
-constexpr int MicrosecondsPerMillisecond = 1'000;
-
-} // namespace
-
 HttpSession::HttpSession(std::string address)
     : m_address(std::move(address))
 {
@@ -24,28 +15,21 @@
     Poco::Net::HTTPRequest &request, const std::string &body, Base::Milliseconds timeout)
 {
     try {
-        if (!m_session) {
-            m_session =
-                std::make_unique<Poco::Net::HTTPClientSession>(Poco::Net::SocketAddress(m_address));
-            m_session->setKeepAlive(true);
-        }
-        m_session->setTimeout(Poco::Timespan(timeout.count() * MicrosecondsPerMillisecond));
-        request.setContentLength64(static_cast<Poco::Int64>(body.size()));
-        m_session->sendRequest(request) << body << std::flush;
-        Poco::Net::HTTPResponse response;
-        auto &stream = m_session->receiveResponse(response);
+        if (!m_connection || !m_connection->isReusable())
+            m_connection = std::make_unique<ClientConnection>(m_address, timeout, timeout);
+        m_connection->setTimeout(timeout);
+        m_connection->sendRequest(request, body);
+        const auto head = m_connection->readHead();
         HttpReply reply;
-        Poco::StreamCopier::copyToString64(stream, reply.body);
-        reply.status = response.getStatus();
-        const bool isComplete = !response.hasContentLength()
-            || reply.body.size() == static_cast<std::size_t>(response.getContentLength64());
-        if (isComplete)
+        Poco::StreamCopier::copyToString64(m_connection->body(), reply.body);
+        reply.status = head->getStatus();
+        if (m_connection->isBodyComplete())
             return reply;
     } catch (const Poco::Exception &) {
         // The calling code counts failed exchanges.
     }
     // The late response may still arrive on this connection, so it is not reused.
-    m_session.reset();
+    m_connection.reset();
     return std::nullopt;
 }
 
--- a/Libraries/Carawaykeel/Adapters/HttpSession.h
+++ b/Libraries/Carawaykeel/Adapters/HttpSession.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <Carawaykeel/Adapters/ClientConnection.h>
 #include <Carawaykeel/Base/Milliseconds.h>
 
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <memory>
 #include <optional>
@@ -32,7 +32,7 @@
 
 private:
     std::string m_address;
-    std::unique_ptr<Poco::Net::HTTPClientSession> m_session;
+    std::unique_ptr<ClientConnection> m_connection;
 };
 
 } // namespace Carawaykeel::Adapters
