Control: Read the answers of instances with the strict parser

Operators saw: the tool took answers with invalid status codes, field names or trailers, and parts of answers that happened to be JSON objects; of other broken ones it said that the input was bad (exit code 2) and not that the instance cannot be reached (4).

Cause: OperatorClient read with the library's session and never asked whether the body was complete.

Change: it uses ClientConnection, and an answer that is broken off or invalid means that the instance cannot be reached.

--- a/Libraries/Carawaykeel/Control/OperatorClient.cpp
+++ b/Libraries/Carawaykeel/Control/OperatorClient.cpp
@@ -1,22 +1,20 @@
 #include <Carawaykeel/Control/OperatorClient.h>
 
+#include <Carawaykeel/Adapters/ClientConnection.h>
 #include <Carawaykeel/Adapters/HttpResponses.h>
 #include <Carawaykeel/Base/ErrorTable.h>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/SocketAddress.h>
 #include <Poco/StreamCopier.h>
-#include <Poco/Timespan.h>
 #include <utility>
 
 namespace Carawaykeel::Control {
 
 namespace {
 
-const Poco::Timespan CallTimeout(10, 0);
+constexpr Base::Milliseconds CallTimeout{10'000};
 
 Base::ErrorKind errorKindNamed(const std::string &name)
 {
@@ -52,16 +50,19 @@
     std::string text;
     int status = 0;
     try {
-        Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(m_address)};
-        session.setTimeout(CallTimeout);
+        Adapters::ClientConnection connection(m_address, CallTimeout, CallTimeout);
         Poco::Net::HTTPRequest request(method, path, Poco::Net::HTTPMessage::HTTP_1_1);
         request.set("Authorization", "Bearer " + m_key);
         request.setContentType("application/json");
-        request.setContentLength64(static_cast<Poco::Int64>(body.size()));
-        session.sendRequest(request) << body << std::flush;
-        Poco::Net::HTTPResponse response;
-        Poco::StreamCopier::copyToString(session.receiveResponse(response), text);
-        status = response.getStatus();
+        request.setKeepAlive(false);
+        connection.sendRequest(request, body);
+        const auto head = connection.readHead();
+        Poco::StreamCopier::copyToString(connection.body(), text);
+        if (!connection.isBodyComplete()) {
+            return Base::fail(
+                Base::ErrorKind::InstanceUnreachable, m_address + ": the answer broke off");
+        }
+        status = head->getStatus();
     } catch (const Poco::Exception &ex) {
         return Base::fail(
             Base::ErrorKind::InstanceUnreachable, m_address + ": " + ex.displayText());
--- a/Tests/BrokenResponses/ControlToolTest.cpp
+++ b/Tests/BrokenResponses/ControlToolTest.cpp
@@ -61,14 +61,38 @@
 
 } // namespace
 
-/// Broken replies of the platform to an instance, as the operator sees them.
+/// Broken answers of an instance to the operators' tool, and of the platform to an instance, as the
+/// operator sees them.
 class ControlToolTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ControlToolTest);
+    CPPUNIT_TEST(brokenAnswersOfAnInstanceAreReported);
     CPPUNIT_TEST(brokenRepliesOfThePlatformAreNoCommits);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void brokenAnswersOfAnInstanceAreReported()
+    {
+        const std::string answer = R"({"version":1,"members":[],"document":"{}","budgets":[]})";
+        std::atomic<std::size_t> current = 0;
+        const auto cases = brokenReplies(answer);
+        ScriptedServer instance(
+            [&](const ReceivedRequest &, int) { return cases.at(current).response; });
+        const auto folder = makeTemporaryFolder();
+        const auto keyFile = folder + "/key";
+        std::ofstream(keyFile) << "key-of-all-interfaces";
+        std::string names;
+        for (std::size_t n = 0; n < cases.size(); ++n) {
+            current = n;
+            const auto code = runControlTool(instance.address(), keyFile, {"budgets"});
+            if (code != ExitUnreachable)
+                names += fmt::format("\n{}: {}", cases[n].name, code);
+        }
+        std::filesystem::remove_all(folder);
+        CPPUNIT_ASSERT_EQUAL(std::string(), names);
+        CPPUNIT_ASSERT_EQUAL(cases.size(), instance.requests().size());
+    }
+
     /// Guards against a declaration that is reported as applied although the table service did not
     /// acknowledge it.
     void brokenRepliesOfThePlatformAreNoCommits()
