Review: Show that a failed request is refused as if it had not run

Cause: a worker's 503 without the mark of a rejection is passed on, and callers take the status as the promise that the request has not run.

--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -34,6 +34,10 @@
     pass
 
 
+# Errors of the stand-ins themselves: with one, a case has shown nothing.
+stand_in_errors = []
+
+
 class Record:
     """What was sent, answered and run, with the seconds since the start."""
 
@@ -170,6 +174,8 @@
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
+        except Exception as ex:  # reported by run_case
+            stand_in_errors.append(repr(ex))
         finally:
             writer.close()
 
@@ -245,6 +251,9 @@
         # that say where the answer ends stay as they are.
         self.spoiled_share = 0.0
         self.spoiled_count = 0
+        # Share of the plain requests that the worker runs and then fails with this status.
+        self.failed_share = 0.0
+        self.failed_status = 500
         self.random = random.Random(name)
 
     def entry(self, state="ready"):
@@ -282,6 +291,8 @@
                     break
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
+        except Exception as ex:  # reported by run_case
+            stand_in_errors.append(repr(ex))
         finally:
             writer.close()
 
@@ -306,6 +317,11 @@
                   f"X-Server-Load: {self.load()}\r\nKeep-Alive: timeout=5\r\n")
         if "x-token-counts" not in fields:
             await asyncio.sleep(ms / 1000)
+            if self.random.random() < self.failed_share:
+                self.record.write(f"worker {self.name}: has run {run['id']} and fails it with {self.failed_status}")
+                run["failed"] = True
+                writer.write(plain(self.failed_status, "Failed", b"failed\n", common))
+                return await writer.drain()
             writer.write(plain(200, "OK", b"b" * 800, common))
             return await writer.drain()
         head = f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{common}Transfer-Encoding: chunked\r\n\r\n"
@@ -528,6 +544,8 @@
     code = 2
     try:
         breaks = asyncio.run(asyncio.wait_for(play(record, trouble), 115))
+        if stand_in_errors:
+            raise CannotRun(f"a stand-in failed: {stand_in_errors[0]}")
         for it in breaks:
             record.write("BROKEN: " + it)
             print("BROKEN: " + it)
