--- a/review/12/case.py
+++ b/review/12/case.py
@@ -4,7 +4,7 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-3"))
-from fleet import Consumer, Fleet, run_case
+from fleet import CannotRun, Consumer, Fleet, run_case
 
 KEY = "n2ctnfzs989anu6wsjnb"
 MACHINES, WORKERS = 8, 3
@@ -52,7 +52,8 @@
                  for router in fleet.routers for _ in range(CONSUMERS_A_MACHINE)]
         await asyncio.sleep(2)
         if trouble:
-            grey = fleet.workers[0]
+            grey = max(fleet.workers, key=lambda it: len(it.runs))
+            record.write(f"runs so far: {', '.join(f'{it.name} {len(it.runs)}' for it in fleet.workers)}")
             record.write(f"srv_grey: {grey.name} runs requests and fails {FAILED} of them with 503, without X-Not-Run, for {GREY_S} s")
             grey.failed_share, grey.failed_status = FAILED, 503
             await asyncio.sleep(GREY_S)
@@ -61,6 +62,8 @@
         await asyncio.gather(*tasks)
         ran = {run["id"] for run in fleet.runs()}
         failed = {run["id"] for run in fleet.runs() if run.get("failed")}
+        if trouble and not failed:
+            raise CannotRun("the worker had no request to fail")
         broken = [id for id, (_, status) in answers.items() if status in PROMISES and id in ran]
         runs_of = {}
         for id, (booking, _) in answers.items():
--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -53,13 +53,20 @@
 
 
 def free_net():
-    """Returns the first two figures of loopback addresses that nobody listens on."""
+    """Returns the first two figures of loopback addresses on which nobody listens: the store's, the workers' and
+    those of up to 12 machines."""
+    places = [(socket.SOCK_STREAM, "0.1", 8223)] + [(socket.SOCK_STREAM, f"2.{n}", 8300) for n in range(1, 13)]
+    for n in range(1, 13):
+        places += [(socket.SOCK_STREAM, f"1.{n}", port) for port in (8227, 8220, 8224, 7355, 9464)]
+        places.append((socket.SOCK_DGRAM, f"1.{n}", 7340))
     for _ in range(100):
         net = f"127.{random.randint(20, 250)}"
         try:
-            for port in (8220, 8223):
-                with socket.socket() as probe:
-                    probe.bind((f"{net}.0.1", port))
+            for kind, rest, port in places:
+                with socket.socket(type=kind) as probe:
+                    if kind == socket.SOCK_STREAM:
+                        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind((f"{net}.{rest}", port))
             return net
         except OSError:
             continue
