--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -10,6 +10,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -468,6 +469,8 @@
         for router in self.routers:
             if router.process:
                 router.process.wait()
+                router.log.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 # Consumers ------------------------------------------------------------------------------------------
