Ingress: Forward no server's failure as a promise that nothing ran

What callers saw: a booking ran, its server failed it with 503, and the caller got that 503.

Cause: decideAfterAttempt() knew that a 503 without X-Not-Run may have run when it chose retries, but forwarded the failure with the server's status. A 408 or 429 was forwarded without any decision.

Change: a server's failure with 408, 421, 429 or 503 that does not state that the request was not run is answered 502 of the router's own, without the server's stamp (MIXED). The same cause on related paths: a success that bears X-Not-Run was thrown away, repeated elsewhere and not counted; the own interface forwarded these statuses of its servers, and used 503 for three errors of requests that have run or may have. The compiler now checks the table of errors.

--- a/Libraries/Carawaykeel/Adapters/CallerHandler.cpp
+++ b/Libraries/Carawaykeel/Adapters/CallerHandler.cpp
@@ -171,6 +171,12 @@
     }
 }
 
+Base::Failure CallerHandler::failureOfServer(int status)
+{
+    return {Base::ErrorKind::ServerFailed,
+        "the server answered with status " + std::to_string(status), {}};
+}
+
 Base::Tokens CallerHandler::costWithUnknownUsage(
     const Requests::Admission &admission, bool supportsAttemptStatus)
 {
--- a/Libraries/Carawaykeel/Adapters/CallerHandler.h
+++ b/Libraries/Carawaykeel/Adapters/CallerHandler.h
@@ -47,6 +47,10 @@
     Base::Result<DispatchedRequest> trySend(
         Requests::Admission admission, BackendRequest backendRequest, bool supportsAttemptStatus);
 
+    /// Returns the failure of a request that the server answered with an error status, which does
+    /// not say whether it was executed.
+    static Base::Failure failureOfServer(int status);
+
     /// Completes a dispatched request that failed and returns the failure.
     boost::leaf::error_id failDispatched(const Requests::Admission &admission,
         const Base::Failure &failure, bool supportsAttemptStatus);
--- a/Libraries/Carawaykeel/Adapters/ChatHandler.cpp
+++ b/Libraries/Carawaykeel/Adapters/ChatHandler.cpp
@@ -92,12 +92,11 @@
         return failDispatched(
             dispatched.admission, std::get<Base::Failure>(outcome), service.supportsAttemptStatus);
     }
-    const bool isServerFailure = status >= Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR;
+    const bool isServerFailure = status >= Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR
+        || Base::promisesNotExecuted(status);
     if (isServerFailure) {
-        return failDispatched(dispatched.admission,
-            {Base::ErrorKind::ServerFailed,
-                "the server answered with status " + std::to_string(status), {}},
-            service.supportsAttemptStatus);
+        return failDispatched(
+            dispatched.admission, failureOfServer(status), service.supportsAttemptStatus);
     }
     // The engine rejected the request itself and ran nothing, so no tokens are charged and its
     // error goes to the caller.
--- a/Libraries/Carawaykeel/Adapters/ServiceHandler.cpp
+++ b/Libraries/Carawaykeel/Adapters/ServiceHandler.cpp
@@ -74,6 +74,9 @@
     const auto &responseBody = std::get<std::string>(outcome);
     dispatched.exchange->finish();
     const auto status = dispatched.exchange->status();
+    if (Base::promisesNotExecuted(status))
+        return failDispatched(
+            dispatched.admission, failureOfServer(status), service->supportsAttemptStatus);
     const auto type = dispatched.exchange->response().getContentType();
     const bool isServerFailure = status >= Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR;
     const auto result =
--- a/Libraries/Carawaykeel/Base/ErrorTable.cpp
+++ b/Libraries/Carawaykeel/Base/ErrorTable.cpp
@@ -2,6 +2,7 @@
 
 #include <Carawaykeel/Base/Verify.h>
 
+#include <algorithm>
 #include <array>
 
 namespace Carawaykeel::Base {
@@ -71,7 +72,7 @@
         ServerError, "retry with the same key only if the request is idempotent"},
     ErrorResponse{ErrorKind::ReservationExceeded, "reservation_exceeded", 502,
         ExecutionStatus::Executed, ServerError, "raise max_tokens"},
-    ErrorResponse{ErrorKind::BillNotDurable, "bill_not_safe", 503, ExecutionStatus::Executed,
+    ErrorResponse{ErrorKind::BillNotDurable, "bill_not_safe", 502, ExecutionStatus::Executed,
         Unavailable, "retry later with the same key"},
     ErrorResponse{ErrorKind::RequestInProgress, "request_running", 409, ExecutionStatus::Unknown,
         Unavailable, "ask again later with the same key"},
@@ -91,9 +92,9 @@
         ExecutionStatus::NotExecuted, InvalidRequest, "mend the declaration"},
     ErrorResponse{ErrorKind::VersionConflict, "version_conflict", 409, ExecutionStatus::NotExecuted,
         InvalidRequest, "run diff against the winning version"},
-    ErrorResponse{ErrorKind::PlatformUnreachable, "platform_unreachable", 503,
+    ErrorResponse{ErrorKind::PlatformUnreachable, "platform_unreachable", 504,
         ExecutionStatus::Unknown, Unavailable, "retry with the same operation id"},
-    ErrorResponse{ErrorKind::InstanceUnreachable, "instance_unreachable", 503,
+    ErrorResponse{ErrorKind::InstanceUnreachable, "instance_unreachable", 504,
         ExecutionStatus::Unknown, Unavailable, "retry at another instance"},
     ErrorResponse{ErrorKind::Internal, "internal", 500, ExecutionStatus::Unknown, ServerError,
         "report it with the instance's dump"},
@@ -101,6 +102,15 @@
 
 static_assert(Responses.size() == static_cast<std::size_t>(ErrorKind::Internal) + 1);
 
+constexpr bool isPromiseKept(const ErrorResponse &response)
+{
+    return !promisesNotExecuted(response.httpStatus)
+        || response.executionStatus == ExecutionStatus::NotExecuted;
+}
+
+static_assert(std::ranges::all_of(Responses, isPromiseKept),
+    "a status that promises that a request was not executed is used for no other error");
+
 } // namespace
 
 const ErrorResponse &errorResponseFor(ErrorKind kind)
--- a/Libraries/Carawaykeel/Base/ErrorTable.h
+++ b/Libraries/Carawaykeel/Base/ErrorTable.h
@@ -25,6 +25,18 @@
 /// Returns the whole table in the order of ErrorKind.
 std::span<const ErrorResponse> allErrorResponses();
 
+/// Returns true if callers take the status as a promise that their request was not executed and
+/// never will be, so that they repeat also a request that may run only once.
+constexpr bool promisesNotExecuted(int httpStatus)
+{
+    constexpr int RequestTimeout = 408;
+    constexpr int MisdirectedRequest = 421;
+    constexpr int TooManyRequests = 429;
+    constexpr int ServiceUnavailable = 503;
+    return httpStatus == RequestTimeout || httpStatus == MisdirectedRequest
+        || httpStatus == TooManyRequests || httpStatus == ServiceUnavailable;
+}
+
 /// Returns the value of the "ran" field in an error response.
 std::string_view executionStatusName(ExecutionStatus status);
 
--- a/Libraries/Carawaykeel/Forwarding/AttemptDecision.cpp
+++ b/Libraries/Carawaykeel/Forwarding/AttemptDecision.cpp
@@ -82,7 +82,8 @@
         return {NextStep::Retry, kind};
     if (state.hasResponseStarted)
         return {NextStep::AbortResponse, kind};
-    if (state.outcome == AttemptOutcome::FailedByServer)
+    // The caller would take such a status for a promise, which the server does not make.
+    if (state.outcome == AttemptOutcome::FailedByServer && !state.hasNotExecutedStatus)
         return {NextStep::ForwardFailure, kind};
     return {NextStep::Fail, kind};
 }
--- a/Libraries/Carawaykeel/Forwarding/AttemptDecision.h
+++ b/Libraries/Carawaykeel/Forwarding/AttemptDecision.h
@@ -39,6 +39,9 @@
     bool hasRetryBudget = false;
     /// Another server can process the request in the remaining time.
     bool hasOtherServer = false;
+    /// The server's error response has a status that callers take as the promise that the request
+    /// was not executed.
+    bool hasNotExecutedStatus = false;
 };
 
 enum class NextStep {
--- a/Libraries/Carawaykeel/Ingress/Exchange.cpp
+++ b/Libraries/Carawaykeel/Ingress/Exchange.cpp
@@ -235,6 +235,8 @@
     state.hasRetryBudget = m_context.retryBudget.remainingRetries(m_service, now) > 0;
     state.hasOtherServer = remainingTime() > MinTimeForAttempt
         && m_context.serverPool.hasUntriedServer(m_service, m_triedServers, now);
+    state.hasNotExecutedStatus =
+        m_response.head && Base::promisesNotExecuted(m_response.head->getStatus());
     const auto decision = Forwarding::decideAfterAttempt(m_route, state);
     m_context.log.info(Logging::LogEvent::AttemptFailed,
         Logging::LogFields()
@@ -246,6 +248,7 @@
             .add("slack_instances", m_context.retryBudget.instanceCount().value_or(0))
             .add("other_server", state.hasOtherServer)
             .add("may_have_run", m_mayHaveRun)
+            .add("status", m_response.head ? static_cast<int>(m_response.head->getStatus()) : 0)
             .add("ms_left", remainingTime().count())
             .add("step", Forwarding::nameOf(decision.step)));
     switch (decision.step) {
--- a/Libraries/Carawaykeel/Ingress/ExchangeResponse.cpp
+++ b/Libraries/Carawaykeel/Ingress/ExchangeResponse.cpp
@@ -1,4 +1,5 @@
 // The part of Exchange that receives a server's response and forwards a stream.
+#include <Carawaykeel/Base/ErrorTable.h>
 #include <Carawaykeel/Http/HopByHopFields.h>
 #include <Carawaykeel/Ingress/Exchange.h>
 
@@ -26,6 +27,8 @@
     m_lastActivityAt = m_context.reactor.now();
     m_response.head = std::make_unique<Poco::Net::HTTPResponse>(head);
     m_response.metadata = metadata;
+    // A success shows that the request was executed, whatever else the server states.
+    m_response.metadata.isNotExecuted = metadata.isNotExecuted && !isSuccess();
     m_response.hasLength = head.hasContentLength();
     m_response.isChunked = head.getChunkedTransferEncoding();
     Http::removeHopByHopFields(*m_response.head);
@@ -40,7 +43,7 @@
         m_context.log.info(Logging::LogEvent::ServerLeavingAnswered,
             Logging::LogFields().add("server", m_server.text()).add("id", m_requestMetadata.id));
     }
-    if (metadata.isNotExecuted && metadata.retryAfter) {
+    if (m_response.metadata.isNotExecuted && metadata.retryAfter) {
         const auto pausedUntil =
             m_context.serverPool.onServerPaused(m_server, *metadata.retryAfter, m_lastActivityAt);
         m_context.log.info(Logging::LogEvent::ServerPaused,
@@ -49,7 +52,7 @@
                 .add("asked_ms", metadata.retryAfter->count())
                 .add("ms", (pausedUntil - m_lastActivityAt).count()));
     }
-    m_mayHaveRun = m_mayHaveRun || !metadata.isNotExecuted;
+    m_mayHaveRun = m_mayHaveRun || !m_response.metadata.isNotExecuted;
 }
 
 void Exchange::onResponseBody(std::string_view bytes)
@@ -117,10 +120,12 @@
         return handleAttemptOutcome(Forwarding::AttemptOutcome::RefusedByServer);
     }
     if (!isSuccess()) {
-        endAttempt(status >= Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR);
-        // An error in the caller's request would occur at another server too.
-        if (status >= Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR)
+        const bool isServerFailure = status >= Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR
+            || Base::promisesNotExecuted(status);
+        endAttempt(isServerFailure);
+        if (isServerFailure)
             return handleAttemptOutcome(Forwarding::AttemptOutcome::FailedByServer);
+        // An error in the caller's request would occur at another server too.
         return forwardResponse();
     }
     if (!m_response.metadata.hasServerStamp) {
--- a/Tests/BrokenResponses/InstanceResponsesTest.cpp
+++ b/Tests/BrokenResponses/InstanceResponsesTest.cpp
@@ -108,6 +108,7 @@
     CPPUNIT_TEST(invalidNamesInInterimHeadsAreRefused);
     CPPUNIT_TEST(invalidNamesInTrailersAreRefused);
     CPPUNIT_TEST(partsOfEarlyResponsesAreRefused);
+    CPPUNIT_TEST(failuresAreNotForwardedAsPromises);
     CPPUNIT_TEST_SUITE_END();
 
     using Responses = std::function<std::vector<EarlyResponse>(const ResponseContent &)>;
@@ -170,6 +171,21 @@
     void invalidNamesInInterimHeadsAreRefused() { checkRefused(responsesWithInvalidInterimHead); }
     void invalidNamesInTrailersAreRefused() { checkRefused(responsesWithInvalidTrailer); }
 
+    /// Guards against a back end's failure whose status tells the caller that nothing was run.
+    void failuresAreNotForwardedAsPromises()
+    {
+        const auto failures = [](const ResponseContent &content) {
+            std::vector<EarlyResponse> responses;
+            for (const int status : {408, 421, 429, 503}) {
+                responses.push_back({fmt::format("{}", status),
+                    {fmt::format("HTTP/1.1 {} Any\r\nContent-Length: {}\r\n\r\n{}", status,
+                        content.body.size(), content.body)}});
+            }
+            return responses;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string(), unexpected(failures, "text", isRefusal));
+    }
+
     /// Bodies end before what makes a completion or a stream whole, except for plain services.
     void partsOfEarlyResponsesAreRefused()
     {
--- a/Tests/Forwarding/AttemptDecisionTest.cpp
+++ b/Tests/Forwarding/AttemptDecisionTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(streamIsResumedOnlyWhenTheRouteAllowsIt);
     CPPUNIT_TEST(attemptLimitAndBudgetStopRetries);
     CPPUNIT_TEST(errorNeverClaimsNotExecutedWhenItMayHaveRun);
+    CPPUNIT_TEST(failureThatPromisesNotExecutedIsNotForwarded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -106,6 +107,20 @@
             }
         }
     }
+
+    /// Guards against a server's 503 that the caller takes for the promise that nothing was run.
+    void failureThatPromisesNotExecutedIsNotForwarded()
+    {
+        for (const auto kind : {RouteKind::Safe, RouteKind::Unsafe, RouteKind::Stream}) {
+            auto state = makeState(AttemptOutcome::FailedByServer);
+            state.hasOtherServer = false;
+            state.hasNotExecutedStatus = true;
+            const auto decision = Forwarding::decideAfterAttempt(makeRoute(kind), state);
+            CPPUNIT_ASSERT(decision.step == NextStep::Fail);
+            CPPUNIT_ASSERT(
+                !Base::promisesNotExecuted(Base::errorResponseFor(decision.kind).httpStatus));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AttemptDecisionTest);
