Budget: Spend no tokens while a commit returns them

An instance without an allotment returns what a stream left unused, and grants requests from it until the commit's reply arrives; others take the tokens as soon as the commit is applied.

Cause: an instance may spend the lowest limit of all states that the row may have. A commit without an allotment was listed with the limit 0, not with what it counts as spent. Where this is negative, as for every return of tokens by an instance without an allotment, 0 is too much.

Change: the list has what the commit counts (Allotment::closed), so that the rule of the lowest limit holds for it too. Loans and transfers to peers take the same limit.

--- a/Libraries/Carawaykeel/Budget/Allotment.cpp
+++ b/Libraries/Carawaykeel/Budget/Allotment.cpp
@@ -4,6 +4,13 @@
 
 namespace Carawaykeel::Budget {
 
+Allotment Allotment::closed(Base::Tokens countedAsSpent)
+{
+    Allotment allotment;
+    allotment.spent = countedAsSpent;
+    return allotment;
+}
+
 Base::Tokens Allotment::spendLimitAt(Base::Milliseconds serviceNow) const
 {
     const auto age =
--- a/Libraries/Carawaykeel/Budget/Allotment.h
+++ b/Libraries/Carawaykeel/Budget/Allotment.h
@@ -27,6 +27,10 @@
     /// The table service's clock at the report, or a lower bound of it.
     Base::Milliseconds reportedAt;
 
+    /// Returns what the row counts for a holder whose allotment was closed: an allotment without a
+    /// holder, which allows nothing beyond `countedAsSpent`.
+    static Allotment closed(Base::Tokens countedAsSpent);
+
     /// Returns the maximum that the holder can have spent by `serviceNow`.
     Base::Tokens spendLimitAt(Base::Milliseconds serviceNow) const;
 
--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.cpp
@@ -56,6 +56,17 @@
     return minSpendLimit(account.possibleAllotments, *now) - account.spent;
 }
 
+Base::Tokens AllotmentHolder::atHand(const Account &account) const
+{
+    return std::max(spendable(account), Base::Tokens()) + account.borrowed;
+}
+
+Base::Tokens AllotmentHolder::tokensAtHand(const Base::TeamId &team) const
+{
+    const auto it = m_accounts.find(team);
+    return it == m_accounts.end() || m_isReturningAll ? Base::Tokens() : atHand(it->second);
+}
+
 void AllotmentHolder::hold(const Base::TeamId &team, Base::Tokens tokens,
     std::function<void(Base::Outcome<TokenHold>)> callback)
 {
--- a/Libraries/Carawaykeel/Budget/AllotmentHolder.h
+++ b/Libraries/Carawaykeel/Budget/AllotmentHolder.h
@@ -73,6 +73,10 @@
     /// holders.
     std::size_t maxHoldersSeen() const { return m_maxHoldersSeen; }
 
+    /// Returns the tokens of a team that may be spent here now, own and borrowed; none after
+    /// returnAll().
+    Base::Tokens tokensAtHand(const Base::TeamId &team) const;
+
     void hold(const Base::TeamId &team, Base::Tokens tokens,
         std::function<void(Base::Outcome<TokenHold>)> callback) override;
     void settle(const TokenHold &hold, Base::Tokens used) override;
@@ -172,6 +176,7 @@
 
     static std::string rowKey(const Base::TeamId &team);
     Base::Tokens spendable(const Account &account) const;
+    Base::Tokens atHand(const Account &account) const;
     bool tryGrantHold(const Base::TeamId &team, Account &account, PendingHold &pendingHold);
     void startReport();
     void scheduleReport();
--- a/Libraries/Carawaykeel/Budget/AllotmentLoans.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentLoans.cpp
@@ -137,9 +137,8 @@
         const auto lender = account.lenders.back();
         account.lenders.pop_back();
         const auto needed = account.pendingHolds.front().tokens;
-        const auto own = std::max(spendable(account), Base::Tokens()) + account.borrowed;
         // While the table is unreachable, tokens in reserve would be missing elsewhere.
-        const auto requested = canReportNow() ? needed * BorrowFactor : needed - own;
+        const auto requested = canReportNow() ? needed * BorrowFactor : needed - atHand(account);
         const auto minimum = std::min(needed / MinLoanDivisor, requested);
         m_lending.requestLoan(lender, team, std::max(minimum, Base::Tokens(1)),
             std::max(requested, Base::Tokens(1)),
@@ -213,8 +212,7 @@
     // While the table is unreachable, what covers no request here may cover one elsewhere.
     if (!account.pendingHolds.empty() && canReportNow())
         return {};
-    const auto own = std::max(spendable(account), Base::Tokens());
-    const auto available = own + account.borrowed;
+    const auto available = atHand(account);
     if (available < minimum) {
         // In a small fleet the borrower is a holder too and takes tokens from the table itself.
         if (!isSmallFleet())
--- a/Libraries/Carawaykeel/Budget/AllotmentPlanning.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentPlanning.cpp
@@ -42,7 +42,9 @@
         account.pendingCommitVersion = account.version;
         account.row = std::move(row);
         const auto *own = account.row.find(m_self);
-        account.possibleAllotments.push_back(own ? *own : Allotment());
+        // What the commit gives back may belong to others before its reply arrives.
+        account.possibleAllotments.push_back(
+            own ? *own : Allotment::closed(account.relinquishedSpent.value_or(Base::Tokens())));
     }
     return transaction;
 }
--- a/Libraries/Carawaykeel/Budget/AllotmentReports.cpp
+++ b/Libraries/Carawaykeel/Budget/AllotmentReports.cpp
@@ -195,10 +195,12 @@
 
 void AllotmentHolder::finishRelinquishing(Account &account)
 {
-    const auto countedAsSpent =
-        std::exchange(account.relinquishedSpent, std::nullopt).value_or(Base::Tokens());
+    if (!account.relinquishedSpent)
+        return;
+    const auto countedAsSpent = *std::exchange(account.relinquishedSpent, std::nullopt);
     account.spent -= countedAsSpent;
     account.spentAtLastMeasurement -= countedAsSpent;
+    account.possibleAllotments = {Allotment()};
 }
 
 void AllotmentHolder::checkOverdraft(const Base::TeamId &team, const Account &account)
--- a/Tests/Support/AllotmentFleet.cpp
+++ b/Tests/Support/AllotmentFleet.cpp
@@ -12,6 +12,17 @@
     return Base::TeamId("team-" + std::to_string(team));
 }
 
+std::int64_t tokensIn(const Peer::PeerMessage &message)
+{
+    if (const auto *lent = std::get_if<Peer::TokensLent>(&message))
+        return lent->tokens.count();
+    if (const auto *repayment = std::get_if<Peer::LoanRepayment>(&message))
+        return repayment->tokens.count();
+    if (const auto *transfer = std::get_if<Peer::TransferTokens>(&message))
+        return transfer->tokens.count();
+    return 0;
+}
+
 } // namespace
 
 /// One incarnation of an instance, with its own clock, which stops while the instance is paused,
@@ -78,6 +89,7 @@
 
     void send(const Base::InstanceId &to, Peer::PeerMessage message) override
     {
+        m_fleet.m_tokensInMessages += tokensIn(message);
         m_fleet.m_network.sendPeer({m_id, to, std::move(message)});
     }
 
@@ -100,6 +112,15 @@
         m_fleet.m_network.detach(m_id.name.text());
     }
 
+    /// Counts tokens that requests hold and will not use, and that come back when they end.
+    void addUnusedHold(int team, std::int64_t tokens) { m_unusedHolds[team] += tokens; }
+    std::int64_t tokensInMemory(int team) const
+    {
+        const auto it = m_unusedHolds.find(team);
+        return m_holder->tokensAtHand(teamOf(team)).count()
+            + (it == m_unusedHolds.end() ? 0 : it->second);
+    }
+
     bool isAlive() const { return m_isAlive; }
     const Base::InstanceId &id() const { return m_id; }
     Budget::AllotmentHolder &holder() { return *m_holder; }
@@ -119,6 +140,7 @@
     {
         if (envelope.to != m_id)
             return;
+        m_fleet.m_tokensInMessages -= tokensIn(envelope.message);
         if (const auto *borrow = std::get_if<Peer::BorrowTokens>(&envelope.message))
             m_holder->lending().onBorrowTokens(envelope.from, *borrow);
         if (const auto *lent = std::get_if<Peer::TokensLent>(&envelope.message))
@@ -135,6 +157,7 @@
     std::unique_ptr<FakeTableClient> m_client;
     std::unique_ptr<Budget::AllotmentHolder> m_holder;
     bool m_isAlive = true;
+    std::map<int, std::int64_t> m_unusedHolds;
     Base::Milliseconds m_pausedSince;
     Base::Milliseconds m_pausedUntil;
     Base::Milliseconds m_totalPause;
@@ -225,19 +248,43 @@
     return m_instances.at(static_cast<std::size_t>(instance))->holder();
 }
 
+std::int64_t AllotmentFleet::tokensInMemory(int team) const
+{
+    std::int64_t sum = 0;
+    for (const auto &incarnation : m_instances)
+        sum += incarnation->isAlive() ? incarnation->tokensInMemory(team) : 0;
+    return sum;
+}
+
 void AllotmentFleet::request(int instance, std::int64_t tokens, int team)
 {
-    const auto incarnation = m_instances.at(static_cast<std::size_t>(instance));
-    incarnation->schedule(Base::Milliseconds(), [this, incarnation, tokens, team] {
-        incarnation->holder().hold(teamOf(team), Base::Tokens(tokens),
-            [this, incarnation, tokens, team](Base::Outcome<Budget::TokenHold> outcome) {
-                onHold(incarnation, tokens, team, std::move(outcome));
-            });
+    hold(instance, tokens, team, [this, tokens] {
+        const auto used = m_world.draw(tokens / 2, tokens);
+        return RequestUse{used, Base::Milliseconds(m_world.draw(50, 3'000))};
     });
 }
 
-void AllotmentFleet::onHold(const std::shared_ptr<Incarnation> &incarnation, std::int64_t tokens,
-    int team, Base::Outcome<Budget::TokenHold> outcome)
+void AllotmentFleet::requestUsing(
+    int instance, std::int64_t tokens, std::int64_t used, Base::Milliseconds span, int team)
+{
+    hold(instance, tokens, team, [used, span] { return RequestUse{used, span}; });
+}
+
+void AllotmentFleet::hold(
+    int instance, std::int64_t tokens, int team, std::function<RequestUse()> drawUse)
+{
+    const auto incarnation = m_instances.at(static_cast<std::size_t>(instance));
+    incarnation->schedule(
+        Base::Milliseconds(), [this, incarnation, tokens, team, drawUse = std::move(drawUse)] {
+            incarnation->holder().hold(teamOf(team), Base::Tokens(tokens),
+                [this, incarnation, team, drawUse](Base::Outcome<Budget::TokenHold> outcome) {
+                    onHold(incarnation, team, drawUse, std::move(outcome));
+                });
+        });
+}
+
+void AllotmentFleet::onHold(const std::shared_ptr<Incarnation> &incarnation, int team,
+    const std::function<RequestUse()> &drawUse, Base::Outcome<Budget::TokenHold> outcome)
 {
     if (const auto *failure = std::get_if<Base::Failure>(&outcome)) {
         ++(failure->kind == Base::ErrorKind::BudgetExhausted ? m_counts.exhausted
@@ -246,11 +293,15 @@
     }
     ++m_counts.granted;
     // The tokens count as used even if the instance dies.
-    const auto used = m_world.draw(tokens / 2, tokens);
-    m_used.at(static_cast<std::size_t>(team)) += used;
+    const auto use = drawUse();
+    m_used.at(static_cast<std::size_t>(team)) += use.tokens;
     const auto hold = std::get<Budget::TokenHold>(outcome);
-    incarnation->schedule(Base::Milliseconds(m_world.draw(50, 3'000)),
-        [incarnation, hold, used] { incarnation->holder().settle(hold, Base::Tokens(used)); });
+    const auto unused = hold.tokens.count() - use.tokens;
+    incarnation->addUnusedHold(team, unused);
+    incarnation->schedule(use.span, [incarnation, hold, use, team, unused] {
+        incarnation->addUnusedHold(team, -unused);
+        incarnation->holder().settle(hold, Base::Tokens(use.tokens));
+    });
 }
 
 } // namespace Carawaykeel::Tests
--- a/Tests/Support/AllotmentFleet.h
+++ b/Tests/Support/AllotmentFleet.h
@@ -6,6 +6,7 @@
 #include <Support/VirtualWorld.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -34,6 +35,10 @@
     /// Sends a request to an instance. It uses some or all of the held tokens and ends later.
     void request(int instance, std::int64_t tokens, int team = 0);
 
+    /// Sends a request that uses some of the held tokens and ends after a span.
+    void requestUsing(int instance, std::int64_t tokens, std::int64_t used, Base::Milliseconds span,
+        int team = 0);
+
     /// Kills an instance. The tokens used by its requests have been counted already.
     void kill(int instance);
     void start(int instance);
@@ -50,6 +55,11 @@
     std::int64_t prepaid() const { return m_prepaid; }
     /// Number of times that an instance had spent more than its allotment in the table.
     int overdrafts() const { return m_overdrafts; }
+    /// Tokens of a team that live instances may spend now or hold for requests that will not use
+    /// them.
+    std::int64_t tokensInMemory(int team = 0) const;
+    /// Tokens in messages between instances that were sent and not received.
+    std::int64_t tokensInMessages() const { return m_tokensInMessages; }
     const HoldOutcomeCounts &counts() const { return m_counts; }
     Budget::AllotmentHolder &holder(int instance);
     FakeTable &table() { return m_table; }
@@ -60,11 +70,20 @@
 private:
     class Incarnation;
 
+    /// The tokens that a request uses, and the time from its hold to its end.
+    struct RequestUse
+    {
+        std::int64_t tokens;
+        Base::Milliseconds span;
+    };
+
     std::vector<Base::InstanceId> peersOf(const Base::InstanceId &self) const;
 
     std::vector<Budget::PrepaidTokens> prepaidByTeam() const;
-    void onHold(const std::shared_ptr<Incarnation> &incarnation, std::int64_t tokens, int team,
-        Base::Outcome<Budget::TokenHold> outcome);
+    /// Holds tokens for a request. The callback draws what it uses and how long it takes.
+    void hold(int instance, std::int64_t tokens, int team, std::function<RequestUse()> drawUse);
+    void onHold(const std::shared_ptr<Incarnation> &incarnation, int team,
+        const std::function<RequestUse()> &drawUse, Base::Outcome<Budget::TokenHold> outcome);
 
     VirtualWorld &m_world;
     FakeTable m_table;
@@ -75,6 +94,7 @@
     std::uint64_t m_lastIncarnation = 0;
     HoldOutcomeCounts m_counts;
     int m_overdrafts = 0;
+    std::int64_t m_tokensInMessages = 0;
 };
 
 } // namespace Carawaykeel::Tests
