--- a/Libraries/Carawaykeel/Adapters/ChatHandler.cpp
+++ b/Libraries/Carawaykeel/Adapters/ChatHandler.cpp
@@ -1,5 +1,7 @@
 #include <Carawaykeel/Adapters/ChatHandler.h>
 
+#include <Carawaykeel/Base/ErrorTable.h>
+
 #include <algorithm>
 #include <optional>
 #include <utility>
--- a/Libraries/Carawaykeel/Adapters/ServiceHandler.cpp
+++ b/Libraries/Carawaykeel/Adapters/ServiceHandler.cpp
@@ -1,5 +1,7 @@
 #include <Carawaykeel/Adapters/ServiceHandler.h>
 
+#include <Carawaykeel/Base/ErrorTable.h>
+
 #include <array>
 #include <utility>
 
@@ -74,9 +76,11 @@
     const auto &responseBody = std::get<std::string>(outcome);
     dispatched.exchange->finish();
     const auto status = dispatched.exchange->status();
-    if (Base::promisesNotExecuted(status))
+    // The caller would take such a status for a promise, which the server does not make.
+    if (Base::promisesNotExecuted(status)) {
         return failDispatched(
             dispatched.admission, failureOfServer(status), service->supportsAttemptStatus);
+    }
     const auto type = dispatched.exchange->response().getContentType();
     const bool isServerFailure = status >= Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR;
     const auto result =
--- a/Tests/Budget/LedgerWritesTest.cpp
+++ b/Tests/Budget/LedgerWritesTest.cpp
@@ -3,6 +3,7 @@
 #include <Support/AllotmentFleet.h>
 #include <Support/SeedRange.h>
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/core.h>
 #include <optional>
@@ -83,7 +84,7 @@
 
     AllotmentFleet &fleet() { return m_fleet; }
 
-    void run(int rounds)
+    void runRounds(int rounds)
     {
         for (int n = 0; n < rounds; ++n) {
             // Each round begins with tokens and ends, on most seeds, without.
@@ -92,7 +93,7 @@
             const auto maxGap = m_options.hasPowerCuts && m_world.happens(0.3) ? 1'500 : 250;
             for (int k = 0; k < EventsPerRound; ++k) {
                 drawEvent();
-                run(Base::Milliseconds(m_world.draw(1, maxGap)));
+                advance(Base::Milliseconds(m_world.draw(1, maxGap)));
             }
             endFaults();
             restartStopped();
@@ -105,7 +106,7 @@
         endFaults();
         for (int n = 0; n < m_options.instances; ++n)
             stop(n);
-        run(Base::Milliseconds(20'000));
+        advance(Base::Milliseconds(20'000));
     }
 
 private:
@@ -115,7 +116,7 @@
     static constexpr std::int64_t TokensPerRound = 600'000;
     static constexpr int EventsPerRound = 60;
 
-    void run(Base::Milliseconds span)
+    void advance(Base::Milliseconds span)
     {
         const auto end = m_world.now() + span;
         while (m_world.now() < end) {
@@ -145,7 +146,7 @@
         table.lateCommit = 0;
         table.refusal = 0;
         table.extraDelay = {};
-        run(CalmTime);
+        advance(CalmTime);
     }
 
     void restartStopped()
@@ -324,7 +325,7 @@
     {
         forEachSeed(10, [](int seed) {
             RandomEvents events(seed, {MediumFleet, true, false});
-            events.run(4);
+            events.runRounds(4);
             checkNoOverspend(events.fleet());
         });
     }
@@ -335,7 +336,7 @@
         for (const int instances : {SmallFleet, MediumFleet}) {
             forEachSeed(10, [instances](int seed) {
                 RandomEvents events(seed, {instances, true, false});
-                events.run(4);
+                events.runRounds(4);
                 events.bringToRest();
                 auto &fleet = events.fleet();
                 const auto row = rowOf(fleet);
@@ -353,7 +354,7 @@
         for (const int instances : {SmallFleet, MediumFleet}) {
             forEachSeed(10, [instances](int seed) {
                 RandomEvents events(seed, {instances, true, true});
-                events.run(4);
+                events.runRounds(4);
                 events.bringToRest();
                 auto &fleet = events.fleet();
                 CPPUNIT_ASSERT(fleet.used() <= rowOf(fleet).totalAllotted().count());
--- a/Tests/Ingress/NotExecutedPromiseTest.cpp
+++ b/Tests/Ingress/NotExecutedPromiseTest.cpp
@@ -4,7 +4,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/core.h>
 #include <functional>
+#include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Carawaykeel::Tests {
